--- /dev/null
+++ b/apps/entry/main.cpp
@@ -0,0 +1,133 @@
+// Entry instance: the flags, the wiring and the order of starting and stopping. No decisions.
+
+#include <iostream>
+
+#include <plantainslip/claims/claim_book.hpp>
+#include <plantainslip/control/control_loop.hpp>
+#include <plantainslip/core/log.hpp>
+#include <plantainslip/net/http_server.hpp>
+#include <plantainslip/platform/http_platform.hpp>
+#include <plantainslip/requests/dispatcher.hpp>
+
+#include "../common/address_check.hpp"
+#include "../common/command_line.hpp"
+#include "../common/stop_signal.hpp"
+
+namespace {
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+
+constexpr std::uint16_t kMostPort = 65535;
+constexpr unsigned kMostThreads = 4096;
+constexpr std::chrono::milliseconds kPlatformTimeout = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds kEngineTimeout = std::chrono::seconds(2);
+
+struct Settings
+{
+  std::string instance;
+  std::string zone;
+  std::string host = "127.0.0.1";
+  std::uint16_t port = 0;
+  std::string platform;
+  std::string operatorKey;
+  unsigned threads = 256;
+  int lingerMs = 0;
+};
+
+void
+AddFlags(apps::CommandLine& aLine, Settings& aSettings)
+{
+  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")->required();
+  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")->required();
+  aLine.Add("host", aSettings.host, "IP number to listen on", "Network");
+  aLine.Add("port", aSettings.port, "Port to listen on; 0 takes a free one", "Network")
+    ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
+  aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
+    ->required()
+    ->check(&apps::CheckAddress);
+  aLine.Add("operator-key", aSettings.operatorKey, "Key that operators prove themselves with",
+            "Security");
+  aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
+    ->check(CLI::Range(1U, kMostThreads));
+  aLine
+    .Add("linger-ms", aSettings.lingerMs,
+         "Time that a stopping instance goes on refusing, for balancers that lag; milliseconds",
+         "Traffic")
+    ->check(CLI::Range(0, 600'000));
+}
+
+int
+Serve(const Settings& aSettings)
+{
+  const net::Address platformAddress = *net::Address::Parse(aSettings.platform);
+  const core::SystemClock clock;
+  const auto store = platform::MakeHttpStore(platformAddress, kPlatformTimeout);
+  const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
+  const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
+  const auto services = targets::MakeHttpServiceClient();
+  const auto claimBook = claims::MakeStoreClaimBook(*store);
+  control::ViewBoard board;
+  requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
+                                    .zone = core::ZoneId(aSettings.zone),
+                                    .operatorKey = aSettings.operatorKey,
+                                    .clock = clock,
+                                    .store = *store,
+                                    .engines = *engines,
+                                    .services = *services,
+                                    .claims = *claimBook,
+                                    .board = board,
+                                    .gate = {},
+                                    .ledger = {},
+                                    .firstToken = {},
+                                    .wholeAnswer = {},
+                                    .inFlight = {},
+                                    .randomMutex = {},
+                                    .random = core::RandomSource(core::MakeSeed()) };
+  control::ControlLoopOptions controlOptions;
+  controlOptions.zone = context.zone;
+  const auto loop =
+    control::ControlLoop::Start(controlOptions, { *store, *list, *engines, clock }, board);
+  net::HttpServerOptions serverOptions;
+  serverOptions.host = aSettings.host;
+  serverOptions.port = aSettings.port;
+  serverOptions.threads = aSettings.threads;
+  const auto server = net::HttpServer::Create(
+    serverOptions,
+    [&](net::HttpExchange& aExchange) { requests::Dispatch(context, aExchange); });
+  if (!server.ok()) {
+    std::cerr << server.status().message() << "\n";
+    return apps::kExitFailed;
+  }
+  core::Log(core::LogLevel::kInfo,
+            "listening",
+            { { "address", (*server)->ListeningAddress().Text() } });
+
+  apps::WaitForStopSignal();
+  core::Log(core::LogLevel::kInfo,
+            "stopping",
+            { { "open", std::to_string(context.ledger.OpenNow()) } });
+  context.gate.Close();
+  context.gate.WaitUntilEmpty();
+  apps::WaitForStopSignal(aSettings.lingerMs);
+  (*server)->Stop();
+  loop->Stop();
+  core::Log(core::LogLevel::kInfo, "stopped");
+  return apps::kExitDone;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  Settings settings;
+  apps::CommandLine line("plantainslip-entry",
+                         "Admits, routes, streams and accounts for callers' requests.");
+  AddFlags(line, settings);
+  if (const auto exitCode = line.Parse(aCount, aArguments); exitCode.has_value()) {
+    return *exitCode;
+  }
+  apps::BlockStopSignals();
+  core::InitializeLog({ "plantainslip-entry", settings.instance, settings.zone }, line.LogLevel());
+  return Serve(settings);
+}
--- /dev/null
+++ b/include/plantainslip/control/control_loop.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+
+#include <plantainslip/control/fleet_view.hpp>
+#include <plantainslip/core/clock.hpp>
+#include <plantainslip/core/ids.hpp>
+#include <plantainslip/platform/instance_list.hpp>
+#include <plantainslip/platform/store.hpp>
+#include <plantainslip/targets/engine.hpp>
+
+namespace plantainslip::control {
+
+/// @brief Settings of the control loop.
+struct ControlLoopOptions
+{
+  core::ZoneId zone;
+  /// @brief Time between two readings of the platform's list.
+  std::chrono::milliseconds listInterval = std::chrono::seconds(1);
+  /// @brief Time between two reports of one engine.
+  std::chrono::milliseconds reportInterval = std::chrono::milliseconds(500);
+  /// @brief Longest wait of one watch of the configuration.
+  std::chrono::milliseconds watchTimeout = std::chrono::seconds(5);
+  /// @brief Time before the next call after the store failed.
+  std::chrono::milliseconds storeBackOff = std::chrono::milliseconds(500);
+};
+
+/// @brief Ports that the control loop works through; all have to outlive it.
+struct ControlPorts
+{
+  platform::Store& store;
+  platform::InstanceList& list;
+  targets::EngineClient& engines;
+  const core::Clock& clock;
+};
+
+/// @brief The one thread that owns an instance's control state and publishes views of it.
+class ControlLoop
+{
+public:
+  virtual ~ControlLoop() = default;
+
+  /// @brief Starts the control thread and the threads that make its blocking calls.
+  /// @param aOptions  settings
+  /// @param aPorts  ports to the platform and the targets
+  /// @param aBoard  gets every new view; has to outlive the loop
+  /// @return the running loop
+  static std::unique_ptr<ControlLoop> Start(ControlLoopOptions aOptions,
+                                            ControlPorts aPorts,
+                                            ViewBoard& aBoard);
+
+  /// @brief Stops the threads; waits for calls that are under way.
+  virtual void Stop() = 0;
+};
+
+} // namespace plantainslip::control
--- /dev/null
+++ b/include/plantainslip/requests/context.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <mutex>
+
+#include <plantainslip/claims/claim_book.hpp>
+#include <plantainslip/control/fleet_view.hpp>
+#include <plantainslip/core/clock.hpp>
+#include <plantainslip/core/ids.hpp>
+#include <plantainslip/core/random.hpp>
+#include <plantainslip/observe/latency_histogram.hpp>
+#include <plantainslip/observe/request_ledger.hpp>
+#include <plantainslip/platform/store.hpp>
+#include <plantainslip/requests/drain_gate.hpp>
+#include <plantainslip/routing/in_flight.hpp>
+#include <plantainslip/targets/engine.hpp>
+#include <plantainslip/targets/plain_service.hpp>
+
+namespace plantainslip::requests {
+
+/// @brief What the request handlers of one entry instance share. Lives as long as the process.
+struct RequestContext
+{
+  core::InstanceId instance;
+  core::ZoneId zone;
+  /// @brief Key that operators prove themselves with; empty refuses all operators.
+  std::string operatorKey;
+  const core::Clock& clock;
+  platform::Store& store;
+  targets::EngineClient& engines;
+  targets::ServiceClient& services;
+  claims::ClaimBook& claims;
+  control::ViewBoard& board;
+
+  DrainGate gate;
+  observe::RequestLedger ledger;
+  observe::LatencyHistogram firstToken;
+  observe::LatencyHistogram wholeAnswer;
+  routing::InFlight inFlight;
+
+  std::mutex randomMutex;
+  core::RandomSource random;
+};
+
+} // namespace plantainslip::requests
--- /dev/null
+++ b/include/plantainslip/requests/dispatcher.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <plantainslip/net/http_server.hpp>
+#include <plantainslip/requests/context.hpp>
+
+namespace plantainslip::requests {
+
+/// @brief Answers any request that reaches an entry instance, by its path.
+/// @param aContext  shared by all requests
+/// @param aExchange  the request
+void
+Dispatch(RequestContext& aContext, net::HttpExchange& aExchange);
+
+} // namespace plantainslip::requests
--- /dev/null
+++ b/include/plantainslip/requests/operator_calls.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <plantainslip/net/http_server.hpp>
+#include <plantainslip/requests/context.hpp>
+
+namespace plantainslip::requests {
+
+/// @brief Answers operators' calls under `/v1/operator/`: the configuration, patches, the fleet.
+/// @param aContext  shared by all requests
+/// @param aExchange  the operator's request; refused without the operators' key
+void
+HandleOperatorCall(RequestContext& aContext, net::HttpExchange& aExchange);
+
+} // namespace plantainslip::requests
--- /dev/null
+++ b/include/plantainslip/routing/errors.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <plantainslip/core/error.hpp>
+
+/// @brief Errors of the routing layer, numbers 600 to 649.
+namespace plantainslip::routing::errors {
+
+/// @brief The configuration has no such deployment or service. Example: a misspelt `model`.
+inline constexpr core::ErrorDescription kUnknownName{ 601,
+                                                      "routing.unknown_name",
+                                                      absl::StatusCode::kNotFound };
+/// @brief No target can take the request now. Example: all engines are being drained.
+inline constexpr core::ErrorDescription kNoTarget{ 602,
+                                                   "routing.no_target",
+                                                   absl::StatusCode::kUnavailable };
+
+} // namespace plantainslip::routing::errors
--- /dev/null
+++ b/src/config/configuration.cpp
@@ -0,0 +1,194 @@
+#include <plantainslip/config/configuration.hpp>
+
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include <plantainslip/config/errors.hpp>
+
+namespace plantainslip::config {
+
+namespace {
+
+using nlohmann::json;
+
+absl::Status
+Invalid(const std::string& aWhere, const std::string& aWhat)
+{
+  return core::MakeError(errors::kInvalid, aWhere + ": " + aWhat);
+}
+
+absl::Status
+CheckFields(const json& aObject, const std::string& aWhere, const std::set<std::string>& aKnown)
+{
+  if (!aObject.is_object()) {
+    return Invalid(aWhere, "must be an object");
+  }
+  for (const auto& item : aObject.items()) {
+    if (!aKnown.contains(item.key())) {
+      return Invalid(aWhere, "unknown field '" + item.key() + "'");
+    }
+  }
+  return absl::OkStatus();
+}
+
+// Every parser below names its own place in the document, so that an operator finds the field.
+absl::Status
+ParseDeployments(const json& aSection, Configuration& aConfiguration)
+{
+  for (const auto& item : aSection.items()) {
+    const std::string where = "deployments/" + item.key();
+    const absl::Status known =
+      CheckFields(item.value(), where, { "model", "version", "adapters" });
+    if (!known.ok()) {
+      return known;
+    }
+    Deployment deployment;
+    deployment.model = item.value().at("model").get<std::string>();
+    deployment.version = item.value().at("version").get<std::string>();
+    deployment.adapters = item.value().value("adapters", std::vector<std::string>());
+    if (deployment.model.empty() || deployment.version.empty()) {
+      return Invalid(where, "model and version must not be empty");
+    }
+    aConfiguration.deployments[core::DeploymentName(item.key())] = std::move(deployment);
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ParseServices(const json& aSection, Configuration& aConfiguration)
+{
+  for (const auto& item : aSection.items()) {
+    const std::string where = "services/" + item.key();
+    const absl::Status known = CheckFields(item.value(), where, { "repeatable" });
+    if (!known.ok()) {
+      return known;
+    }
+    ServiceRule rule;
+    rule.repeatable = item.value().value("repeatable", false);
+    aConfiguration.services[core::ServiceName(item.key())] = rule;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ParseTargets(const json& aSection, Configuration& aConfiguration)
+{
+  static const std::set<std::string> kRoles = { "auto", "mixed", "prefill", "decode" };
+  for (const auto& item : aSection.items()) {
+    const std::string where = "targets/" + item.key();
+    const absl::Status known =
+      CheckFields(item.value(), where, { "deployment", "role", "checks_fencing" });
+    if (!known.ok()) {
+      return known;
+    }
+    TargetRule rule;
+    rule.deployment = core::DeploymentName(item.value().at("deployment").get<std::string>());
+    rule.role = item.value().value("role", std::string("mixed"));
+    rule.checksFencing = item.value().value("checks_fencing", false);
+    if (!aConfiguration.deployments.contains(rule.deployment)) {
+      return Invalid(where, "no deployment '" + rule.deployment.Text() + "'");
+    }
+    if (!kRoles.contains(rule.role)) {
+      return Invalid(where, "role '" + rule.role + "' is not auto, mixed, prefill or decode");
+    }
+    aConfiguration.targets[core::TargetId(item.key())] = std::move(rule);
+  }
+  return absl::OkStatus();
+}
+
+absl::StatusOr<WorkspaceLimit>
+ParseLimit(const json& aSection, const std::string& aWhere)
+{
+  const absl::Status known =
+    CheckFields(aSection, aWhere, { "requests_per_second", "tokens_per_second" });
+  if (!known.ok()) {
+    return known;
+  }
+  WorkspaceLimit limit;
+  limit.requestsPerSecond = aSection.value("requests_per_second", 0.0);
+  limit.tokensPerSecond = aSection.value("tokens_per_second", 0.0);
+  if (limit.requestsPerSecond < 0.0 || limit.tokensPerSecond < 0.0) {
+    return Invalid(aWhere, "a rate must not be negative");
+  }
+  return limit;
+}
+
+absl::Status
+ParseLimits(const json& aSection, Configuration& aConfiguration)
+{
+  for (const auto& item : aSection.items()) {
+    const auto limit = ParseLimit(item.value(), "limits/" + item.key());
+    if (!limit.ok()) {
+      return limit.status();
+    }
+    if (item.key() == "default") {
+      aConfiguration.defaultLimit = *limit;
+    } else {
+      aConfiguration.limits[core::WorkspaceId(item.key())] = *limit;
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ParseWeights(const json& aSection, Configuration& aConfiguration)
+{
+  const absl::Status known = CheckFields(aSection, "weights", { "goodput", "role_changes" });
+  if (!known.ok()) {
+    return known;
+  }
+  aConfiguration.weights.goodput = aSection.value("goodput", 1.0);
+  aConfiguration.weights.roleChanges = aSection.value("role_changes", 1.0);
+  if (aConfiguration.weights.goodput < 0.0 || aConfiguration.weights.roleChanges < 0.0) {
+    return Invalid("weights", "a weight must not be negative");
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ParseSections(const json& aDocument, Configuration& aConfiguration)
+{
+  using Parser = absl::Status (*)(const json&, Configuration&);
+  // Deployments come first, since targets name them.
+  const std::pair<const char*, Parser> parsers[] = { { "deployments", &ParseDeployments },
+                                                     { "services", &ParseServices },
+                                                     { "targets", &ParseTargets },
+                                                     { "limits", &ParseLimits },
+                                                     { "weights", &ParseWeights } };
+  for (const auto& [name, parse] : parsers) {
+    const json section = aDocument.value(name, json::object());
+    if (!section.is_object()) {
+      return Invalid(name, "must be an object");
+    }
+    if (const absl::Status parsed = parse(section, aConfiguration); !parsed.ok()) {
+      return parsed;
+    }
+  }
+  return absl::OkStatus();
+}
+
+} // namespace
+
+absl::StatusOr<Configuration>
+ParseConfiguration(core::ConfigVersion aVersion, const std::string& aDocument)
+{
+  const json document = json::parse(aDocument, nullptr, false);
+  const absl::Status known = CheckFields(
+    document, "document", { "deployments", "services", "targets", "limits", "weights" });
+  if (!known.ok()) {
+    return known;
+  }
+  Configuration configuration;
+  configuration.version = aVersion;
+  try {
+    if (const absl::Status parsed = ParseSections(document, configuration); !parsed.ok()) {
+      return parsed;
+    }
+  } catch (const json::exception& problem) {
+    return Invalid("document", problem.what());
+  }
+  return configuration;
+}
+
+} // namespace plantainslip::config
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,205 @@
+#include <plantainslip/net/http_server.hpp>
+
+#include <algorithm>
+#include <array>
+#include <mutex>
+
+#include <civetweb.h>
+
+#include <plantainslip/net/errors.hpp>
+
+namespace plantainslip::net {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kQueryValueBytes = 4096;
+constexpr int kHandled = 200;
+
+std::string
+StatusLine(int aStatus, std::string_view aContentType, const std::vector<Header>& aHeaders)
+{
+  std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " ";
+  head += mg_get_response_code_text(nullptr, aStatus);
+  head += "\r\nContent-Type: " + std::string(aContentType) + "\r\nCache-Control: no-store\r\n";
+  for (const Header& header : aHeaders) {
+    head += header.name + ": " + header.value + "\r\n";
+  }
+  return head;
+}
+
+class CivetExchange final : public HttpExchange
+{
+public:
+  explicit CivetExchange(mg_connection* aConnection)
+    : connection(aConnection)
+    , info(mg_get_request_info(aConnection))
+  {
+  }
+
+  std::string Method() const override { return this->info->request_method; }
+  std::string Path() const override { return this->info->local_uri; }
+
+  std::optional<std::string> Query(const std::string& aName) const override
+  {
+    if (this->info->query_string == nullptr) {
+      return std::nullopt;
+    }
+    const std::string query = this->info->query_string;
+    std::string value(kQueryValueBytes, '\0');
+    const int length =
+      mg_get_var(query.data(), query.size(), aName.c_str(), value.data(), value.size());
+    if (length < 0) {
+      return std::nullopt;
+    }
+    value.resize(static_cast<std::size_t>(length));
+    return value;
+  }
+
+  std::optional<std::string> HeaderValue(const std::string& aName) const override
+  {
+    const char* value = mg_get_header(this->connection, aName.c_str());
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+  }
+
+  absl::StatusOr<std::string> ReadBody(std::size_t aLimit) override
+  {
+    const long long stated = this->info->content_length;
+    if (stated > static_cast<long long>(aLimit)) {
+      return core::MakeError(errors::kBodyTooLarge, "limit " + std::to_string(aLimit));
+    }
+    std::string body;
+    std::array<char, kReadBytes> buffer{};
+    for (;;) {
+      const int got = mg_read(this->connection, buffer.data(), buffer.size());
+      if (got <= 0) {
+        break;
+      }
+      if (body.size() + static_cast<std::size_t>(got) > aLimit) {
+        return core::MakeError(errors::kBodyTooLarge, "limit " + std::to_string(aLimit));
+      }
+      body.append(buffer.data(), static_cast<std::size_t>(got));
+    }
+    if (stated > static_cast<long long>(body.size())) {
+      return core::MakeError(errors::kBodyTruncated, "got " + std::to_string(body.size()));
+    }
+    return body;
+  }
+
+  bool Respond(int aStatus,
+               std::string_view aContentType,
+               std::string_view aBody,
+               const std::vector<Header>& aHeaders) override
+  {
+    std::string answer = StatusLine(aStatus, aContentType, aHeaders);
+    answer += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
+    answer += aBody;
+    return this->Write(answer);
+  }
+
+  bool BeginStream(int aStatus,
+                   std::string_view aContentType,
+                   const std::vector<Header>& aHeaders) override
+  {
+    return this->Write(StatusLine(aStatus, aContentType, aHeaders) +
+                       "Transfer-Encoding: chunked\r\n\r\n");
+  }
+
+  bool SendChunk(std::string_view aChunk) override
+  {
+    if (aChunk.empty()) {
+      return true;
+    }
+    return mg_send_chunk(this->connection, aChunk.data(), static_cast<unsigned>(aChunk.size())) > 0;
+  }
+
+  bool EndStream() override { return mg_send_chunk(this->connection, "", 0) > 0; }
+
+private:
+  bool Write(const std::string& aBytes)
+  {
+    return mg_write(this->connection, aBytes.data(), aBytes.size()) ==
+           static_cast<int>(aBytes.size());
+  }
+
+  mg_connection* connection;
+  const mg_request_info* info;
+};
+
+class CivetServer final : public HttpServer
+{
+public:
+  explicit CivetServer(Handler aHandler)
+    : handler(std::move(aHandler))
+  {
+  }
+
+  ~CivetServer() override { this->CivetServer::Stop(); }
+
+  absl::Status Start(const HttpServerOptions& aOptions)
+  {
+    const bool secure = !aOptions.certificateFile.empty();
+    const std::string ports =
+      aOptions.host + ":" + std::to_string(aOptions.port) + (secure ? "s" : "");
+    const std::string threads = std::to_string(aOptions.threads);
+    const std::string waiting = std::to_string(aOptions.waitingConnections);
+    const std::string timeout = std::to_string(aOptions.requestTimeout.count());
+    std::vector<const char*> options = {
+      "listening_ports",    ports.c_str(),   "num_threads",       threads.c_str(),
+      "connection_queue",   waiting.c_str(), "request_timeout_ms", timeout.c_str(),
+      "enable_keep_alive",  "yes",           "keep_alive_timeout_ms", "5000",
+      "tcp_nodelay",        "1",
+    };
+    if (secure) {
+      options.insert(options.end(), { "ssl_certificate", aOptions.certificateFile.c_str() });
+    }
+    options.push_back(nullptr);
+    mg_init_library(secure ? MG_FEATURES_TLS : 0);
+    const mg_callbacks callbacks{};
+    this->context = mg_start(&callbacks, this, options.data());
+    if (this->context == nullptr) {
+      return core::MakeError(errors::kCannotListen, ports);
+    }
+    mg_server_port port{};
+    mg_get_server_ports(this->context, 1, &port);
+    this->address = Address{ aOptions.host, static_cast<std::uint16_t>(port.port) };
+    mg_set_request_handler(this->context, "/", &CivetServer::Handle, this);
+    return absl::OkStatus();
+  }
+
+  Address ListeningAddress() const override { return this->address; }
+
+  void Stop() override
+  {
+    if (this->context != nullptr) {
+      mg_stop(this->context);
+      this->context = nullptr;
+    }
+  }
+
+private:
+  static int Handle(mg_connection* aConnection, void* aServer)
+  {
+    CivetExchange exchange(aConnection);
+    static_cast<CivetServer*>(aServer)->handler(exchange);
+    return kHandled;
+  }
+
+  Handler handler;
+  Address address;
+  mg_context* context = nullptr;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<HttpServer>>
+HttpServer::Create(const HttpServerOptions& aOptions, Handler aHandler)
+{
+  auto server = std::make_unique<CivetServer>(std::move(aHandler));
+  if (const absl::Status started = server->Start(aOptions); !started.ok()) {
+    return started;
+  }
+  return server;
+}
+
+} // namespace plantainslip::net
--- /dev/null
+++ b/src/net/http_stream.cpp
@@ -0,0 +1,143 @@
+#include <array>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <plantainslip/net/errors.hpp>
+#include <plantainslip/net/http_client.hpp>
+
+namespace plantainslip::net {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr int kHttpVersion = 11;
+constexpr std::size_t kPieceBytes = 16 * 1024;
+
+http::request<http::string_body>
+ToBeastRequest(const Address& aAddress, const HttpRequest& aRequest)
+{
+  http::request<http::string_body> request;
+  request.version(kHttpVersion);
+  request.method_string(aRequest.method);
+  request.target(aRequest.target);
+  request.set(http::field::host, aAddress.Text());
+  request.set(http::field::connection, "close");
+  request.set(http::field::content_type, aRequest.contentType);
+  for (const Header& header : aRequest.headers) {
+    request.set(header.name, header.value);
+  }
+  request.body() = aRequest.body;
+  request.prepare_payload();
+  return request;
+}
+
+// The C++ client of CivetWeb waits until its buffer is full, so streamed answers use Beast.
+class BeastStream final : public HttpStream
+{
+public:
+  BeastStream()
+    : stream(context)
+  {
+    this->parser.body_limit(boost::none);
+  }
+
+  absl::Status Connect(const Address& aAddress, const HttpRequest& aRequest)
+  {
+    beast::error_code failure;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(aAddress.host, failure),
+                                           aAddress.port);
+    if (!failure) {
+      this->stream.expires_after(aRequest.timeout);
+      this->stream.async_connect(endpoint, [&](beast::error_code aCode) { failure = aCode; });
+      this->RunToEnd();
+    }
+    if (failure) {
+      return core::MakeError(errors::kNotConnected, aAddress.Text() + ": " + failure.message());
+    }
+    this->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+    return absl::OkStatus();
+  }
+
+  absl::Status SendAndReadHead(const Address& aAddress, const HttpRequest& aRequest)
+  {
+    beast::error_code failure;
+    const auto request = ToBeastRequest(aAddress, aRequest);
+    this->stream.expires_after(aRequest.timeout);
+    http::async_write(
+      this->stream, request, [&](beast::error_code aCode, std::size_t) { failure = aCode; });
+    this->RunToEnd();
+    if (!failure) {
+      this->stream.expires_after(aRequest.timeout);
+      http::async_read_header(
+        this->stream, this->buffer, this->parser, [&](beast::error_code aCode, std::size_t) {
+          failure = aCode;
+        });
+      this->RunToEnd();
+    }
+    if (failure) {
+      return core::MakeError(errors::kNoAnswer, aAddress.Text() + ": " + failure.message());
+    }
+    return absl::OkStatus();
+  }
+
+  int StatusCode() const override { return static_cast<int>(this->parser.get().result_int()); }
+
+  absl::StatusOr<std::optional<std::string>> Read(std::chrono::milliseconds aTimeout) override
+  {
+    while (!this->parser.is_done()) {
+      std::array<char, kPieceBytes> piece;
+      this->parser.get().body().data = piece.data();
+      this->parser.get().body().size = piece.size();
+      beast::error_code failure;
+      this->stream.expires_after(aTimeout);
+      http::async_read_some(
+        this->stream, this->buffer, this->parser, [&](beast::error_code aCode, std::size_t) {
+          failure = aCode;
+        });
+      this->RunToEnd();
+      if (failure && failure != http::error::need_buffer) {
+        return core::MakeError(errors::kNoAnswer, failure.message());
+      }
+      const std::size_t got = piece.size() - this->parser.get().body().size;
+      if (got > 0) {
+        return std::string(piece.data(), got);
+      }
+    }
+    return std::optional<std::string>();
+  }
+
+private:
+  void RunToEnd()
+  {
+    this->context.restart();
+    this->context.run();
+  }
+
+  asio::io_context context;
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  http::response_parser<http::buffer_body> parser;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<HttpStream>>
+HttpStream::Open(const Address& aAddress, const HttpRequest& aRequest)
+{
+  auto stream = std::make_unique<BeastStream>();
+  if (const absl::Status connected = stream->Connect(aAddress, aRequest); !connected.ok()) {
+    return connected;
+  }
+  if (const absl::Status sent = stream->SendAndReadHead(aAddress, aRequest); !sent.ok()) {
+    return sent;
+  }
+  return stream;
+}
+
+} // namespace plantainslip::net
--- /dev/null
+++ b/src/requests/drain_gate.cpp
@@ -0,0 +1,46 @@
+#include <plantainslip/requests/drain_gate.hpp>
+
+namespace plantainslip::requests {
+
+bool
+DrainGate::Enter()
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->open) {
+    ++this->inside;
+  }
+  return this->open;
+}
+
+void
+DrainGate::Leave()
+{
+  const std::scoped_lock lock(this->mutex);
+  --this->inside;
+  if (this->inside == 0) {
+    this->emptied.notify_all();
+  }
+}
+
+void
+DrainGate::Close()
+{
+  const std::scoped_lock lock(this->mutex);
+  this->open = false;
+}
+
+bool
+DrainGate::IsOpen() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->open;
+}
+
+void
+DrainGate::WaitUntilEmpty()
+{
+  std::unique_lock lock(this->mutex);
+  this->emptied.wait(lock, [this] { return this->inside == 0; });
+}
+
+} // namespace plantainslip::requests
--- /dev/null
+++ b/src/targets/http_engine_client.cpp
@@ -0,0 +1,261 @@
+#include <plantainslip/targets/engine.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <plantainslip/net/errors.hpp>
+#include <plantainslip/net/http_client.hpp>
+#include <plantainslip/targets/errors.hpp>
+
+namespace plantainslip::targets {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kForbidden = 403;
+constexpr std::size_t kLongestLineBytes = 1'000'000;
+
+absl::Status
+TurnNetError(const absl::Status& aStatus)
+{
+  const bool notSent = core::IsError(aStatus, net::errors::kNotConnected);
+  return core::MakeError(notSent ? errors::kUnreachable : errors::kLost, aStatus.message());
+}
+
+absl::StatusOr<TokenChunk>
+ParseChunk(const std::string& aLine)
+{
+  try {
+    const json line = json::parse(aLine);
+    TokenChunk chunk;
+    chunk.request = core::RequestId(line.at("request").get<std::string>());
+    chunk.attempt = core::AttemptNumber(line.at("attempt").get<std::uint64_t>());
+    chunk.offset = core::TokenOffset(line.at("offset").get<std::uint64_t>());
+    chunk.last = line.contains("end");
+    if (chunk.last) {
+      chunk.finishReason = line.at("end").get<std::string>();
+    } else {
+      chunk.text = line.at("text").get<std::string>();
+    }
+    return chunk;
+  } catch (const json::exception& problem) {
+    return core::MakeError(errors::kBadAnswer, problem.what());
+  }
+}
+
+class HttpTokenStream final : public TokenStream
+{
+public:
+  HttpTokenStream(std::unique_ptr<net::HttpStream> aStream, std::chrono::milliseconds aTimeout)
+    : stream(std::move(aStream))
+    , timeout(aTimeout)
+  {
+  }
+
+  absl::StatusOr<TokenChunk> Next() override
+  {
+    std::size_t end = this->pending.find('\n');
+    while (end == std::string::npos) {
+      if (const absl::Status filled = this->Fill(); !filled.ok()) {
+        return filled;
+      }
+      end = this->pending.find('\n');
+    }
+    const std::string line = this->pending.substr(0, end);
+    this->pending.erase(0, end + 1);
+    return ParseChunk(line);
+  }
+
+private:
+  absl::Status Fill()
+  {
+    if (this->pending.size() > kLongestLineBytes) {
+      return core::MakeError(errors::kBadAnswer, "a line without an end");
+    }
+    const auto bytes = this->stream->Read(this->timeout);
+    if (!bytes.ok()) {
+      return TurnNetError(bytes.status());
+    }
+    if (!bytes->has_value()) {
+      return core::MakeError(errors::kLost, "the answer ended without its end marker");
+    }
+    this->pending += **bytes;
+    return absl::OkStatus();
+  }
+
+  std::unique_ptr<net::HttpStream> stream;
+  std::chrono::milliseconds timeout;
+  std::string pending;
+};
+
+json
+ToJson(const GenerateRequest& aRequest)
+{
+  return { { "request", aRequest.request.Text() },
+           { "attempt", aRequest.attempt.Number() },
+           { "model", aRequest.model },
+           { "version", aRequest.version },
+           { "adapter", aRequest.adapter },
+           { "prompt", aRequest.prompt },
+           { "max_tokens", aRequest.maxTokens.Number() },
+           { "offset", aRequest.offset.Number() },
+           { "priority", aRequest.priority } };
+}
+
+json
+ToJson(const EngineOrder& aOrder)
+{
+  return { { "order", aOrder.order.Text() },         { "token", aOrder.token.Number() },
+           { "kind", OrderKindName(aOrder.kind) },   { "model", aOrder.model },
+           { "version", aOrder.version },            { "adapter", aOrder.adapter },
+           { "role", RoleName(aOrder.role) } };
+}
+
+absl::StatusOr<EngineReport>
+ParseReport(const json& aAnswer)
+{
+  const auto role = ParseRole(aAnswer.at("role").get<std::string>());
+  if (!role.ok()) {
+    return role.status();
+  }
+  EngineReport report;
+  report.role = *role;
+  report.model = aAnswer.at("model").get<std::string>();
+  report.version = aAnswer.at("version").get<std::string>();
+  report.adapters = aAnswer.at("adapters").get<std::vector<std::string>>();
+  report.changing = aAnswer.at("changing").get<bool>();
+  report.running = aAnswer.at("running").get<std::uint64_t>();
+  report.queued = aAnswer.at("queued").get<std::uint64_t>();
+  report.queuedPrefill = core::TokenCount(aAnswer.at("queued_prefill").get<std::uint64_t>());
+  report.lastOrder = core::OrderId(aAnswer.at("last_order").get<std::string>());
+  report.lastOrderDone = aAnswer.at("last_order_done").get<bool>();
+  report.highestToken = core::FencingToken(aAnswer.at("highest_token").get<std::uint64_t>());
+  return report;
+}
+
+class HttpEngineClient final : public EngineClient
+{
+public:
+  explicit HttpEngineClient(std::chrono::milliseconds aTimeout)
+    : timeout(aTimeout)
+  {
+  }
+
+  absl::StatusOr<std::unique_ptr<TokenStream>> Generate(const net::Address& aEngine,
+                                                        const GenerateRequest& aRequest) override
+  {
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/generate";
+    request.body = ToJson(aRequest).dump(-1, ' ', false, json::error_handler_t::replace);
+    request.timeout = aRequest.timeout;
+    auto stream = net::HttpStream::Open(aEngine, request);
+    if (!stream.ok()) {
+      return TurnNetError(stream.status());
+    }
+    if ((*stream)->StatusCode() != kOk) {
+      return core::MakeError(errors::kRefused,
+                             "status " + std::to_string((*stream)->StatusCode()));
+    }
+    return std::make_unique<HttpTokenStream>(*std::move(stream), aRequest.timeout);
+  }
+
+  absl::Status Cancel(const net::Address& aEngine,
+                      const core::RequestId& aRequest,
+                      core::AttemptNumber aAttempt) override
+  {
+    const json body = { { "request", aRequest.Text() }, { "attempt", aAttempt.Number() } };
+    return this->Call(aEngine, "POST", "/v1/cancel", body.dump()).status();
+  }
+
+  absl::StatusOr<EngineReport> ReadReport(const net::Address& aEngine) override
+  {
+    const auto answer = this->CallForObject(aEngine, "/v1/report");
+    if (!answer.ok()) {
+      return answer.status();
+    }
+    try {
+      return ParseReport(*answer);
+    } catch (const json::exception& problem) {
+      return core::MakeError(errors::kBadAnswer, problem.what());
+    }
+  }
+
+  absl::StatusOr<std::vector<CacheEvent>> ReadCacheEvents(const net::Address& aEngine,
+                                                          std::uint64_t aAfter) override
+  {
+    const auto answer =
+      this->CallForObject(aEngine, "/v1/cache-events?after=" + std::to_string(aAfter));
+    if (!answer.ok()) {
+      return answer.status();
+    }
+    try {
+      std::vector<CacheEvent> events;
+      for (const json& line : answer->at("events")) {
+        events.push_back({ line.at("sequence").get<std::uint64_t>(),
+                           line.at("piece").get<std::uint64_t>(),
+                           line.at("stored").get<bool>() });
+      }
+      return events;
+    } catch (const json::exception& problem) {
+      return core::MakeError(errors::kBadAnswer, problem.what());
+    }
+  }
+
+  absl::Status SendOrder(const net::Address& aEngine, const EngineOrder& aOrder) override
+  {
+    const auto reply = this->Call(aEngine, "POST", "/v1/orders", ToJson(aOrder).dump());
+    if (!reply.ok()) {
+      return reply.status();
+    }
+    if (reply->status == kOk) {
+      return absl::OkStatus();
+    }
+    const bool fenced = reply->status == kForbidden;
+    return core::MakeError(fenced ? errors::kOrderFenced : errors::kOrderRefused, reply->body);
+  }
+
+private:
+  absl::StatusOr<net::HttpReply> Call(const net::Address& aEngine,
+                                      const std::string& aMethod,
+                                      const std::string& aTarget,
+                                      const std::string& aBody)
+  {
+    net::HttpRequest request;
+    request.method = aMethod;
+    request.target = aTarget;
+    request.body = aBody;
+    request.timeout = this->timeout;
+    auto reply = net::CallHttp(aEngine, request);
+    if (!reply.ok()) {
+      return TurnNetError(reply.status());
+    }
+    return reply;
+  }
+
+  absl::StatusOr<json> CallForObject(const net::Address& aEngine, const std::string& aTarget)
+  {
+    const auto reply = this->Call(aEngine, "GET", aTarget, {});
+    if (!reply.ok()) {
+      return reply.status();
+    }
+    json answer = json::parse(reply->body, nullptr, false);
+    if (reply->status != kOk || !answer.is_object()) {
+      return core::MakeError(errors::kBadAnswer, "status " + std::to_string(reply->status));
+    }
+    return answer;
+  }
+
+  std::chrono::milliseconds timeout;
+};
+
+} // namespace
+
+std::unique_ptr<EngineClient>
+MakeHttpEngineClient(std::chrono::milliseconds aTimeout)
+{
+  return std::make_unique<HttpEngineClient>(aTimeout);
+}
+
+} // namespace plantainslip::targets
