--- a/apps/common/command_line.cpp
+++ b/apps/common/command_line.cpp
@@ -22,7 +22,8 @@
 {
   std::string name = "PLANTAINSLIP_";
   for (const char letter : aName) {
-    name += letter == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+    name +=
+      letter == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
   }
   return name;
 }
--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -70,7 +70,8 @@
   if (aSettings.asJson) {
     std::cout << record.dump() << "\n";
   } else {
-    std::cout << "version " << record.at("version") << "\n" << record.at("document").dump(2) << "\n";
+    std::cout << "version " << record.at("version") << "\n"
+              << record.at("document").dump(2) << "\n";
   }
   return apps::kExitDone;
 }
@@ -110,8 +111,9 @@
     return apps::kExitDone;
   }
   for (const json& target : fleet.at("targets")) {
-    std::cout << target.at("name").get<std::string>() << "  " << target.at("zone").get<std::string>()
-              << "  " << target.at("kind").get<std::string>() << "  "
+    std::cout << target.at("name").get<std::string>() << "  "
+              << target.at("zone").get<std::string>() << "  "
+              << target.at("kind").get<std::string>() << "  "
               << target.at("serves").get<std::string>() << "  "
               << target.value("role", std::string("-")) << "  "
               << target.value("version", std::string("-"))
@@ -134,8 +136,7 @@
   CLI::App* config = line.Parser().add_subcommand("config", "Read and change the configuration");
   CLI::App* show = config->add_subcommand("show", "Print the configuration in force");
   CLI::App* patch = config->add_subcommand("patch", "Submit a patch against a version");
-  patch->add_option("--base", settings.base, "Version that the patch was made against")
-    ->required();
+  patch->add_option("--base", settings.base, "Version that the patch was made against")->required();
   patch->add_option("--author", settings.author, "Who answers for the patch")->required();
   patch->add_option("--change", settings.change, "JSON merge patch (RFC 7386)")->required();
   patch->add_option("--patch", settings.patch, "Identifier of a patch that is submitted again");
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -45,12 +45,13 @@
   aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
     ->required()
     ->check(&apps::CheckAddress);
-  aLine.Add("operator-key", aSettings.operatorKey, "Key that operators prove themselves with",
-            "Security");
+  aLine.Add(
+    "operator-key", aSettings.operatorKey, "Key that operators prove themselves with", "Security");
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
-    .Add("linger-ms", aSettings.lingerMs,
+    .Add("linger-ms",
+         aSettings.lingerMs,
          "Time that a stopping instance goes on refusing, for balancers that lag; milliseconds",
          "Traffic")
     ->check(CLI::Range(0, 600'000));
@@ -92,20 +93,17 @@
   serverOptions.port = aSettings.port;
   serverOptions.threads = aSettings.threads;
   const auto server = net::HttpServer::Create(
-    serverOptions,
-    [&](net::HttpExchange& aExchange) { requests::Dispatch(context, aExchange); });
+    serverOptions, [&](net::HttpExchange& aExchange) { requests::Dispatch(context, aExchange); });
   if (!server.ok()) {
     std::cerr << server.status().message() << "\n";
     return apps::kExitFailed;
   }
-  core::Log(core::LogLevel::kInfo,
-            "listening",
-            { { "address", (*server)->ListeningAddress().Text() } });
+  core::Log(
+    core::LogLevel::kInfo, "listening", { { "address", (*server)->ListeningAddress().Text() } });
 
   apps::WaitForStopSignal();
-  core::Log(core::LogLevel::kInfo,
-            "stopping",
-            { { "open", std::to_string(context.ledger.OpenNow()) } });
+  core::Log(
+    core::LogLevel::kInfo, "stopping", { { "open", std::to_string(context.ledger.OpenNow()) } });
   context.gate.Close();
   context.gate.WaitUntilEmpty();
   apps::WaitForStopSignal(aSettings.lingerMs);
--- a/include/plantainslip/config/commands/submit_patch.hpp
+++ b/include/plantainslip/config/commands/submit_patch.hpp
@@ -42,8 +42,6 @@
 /// @return the record with the patch in it, or errors 501 to 505
 /// @note Two store calls when nothing fails.
 absl::StatusOr<ConfigurationRecord>
-SubmitPatch(platform::Store& aStore,
-            const PatchSubmission& aSubmission,
-            const core::Clock& aClock);
+SubmitPatch(platform::Store& aStore, const PatchSubmission& aSubmission, const core::Clock& aClock);
 
 } // namespace plantainslip::config
--- a/include/plantainslip/targets/engine.hpp
+++ b/include/plantainslip/targets/engine.hpp
@@ -135,8 +135,9 @@
 
   /// @brief Starts an attempt.
   /// @return the open answer, or error 401 (targets.unreachable), 402 (targets.refused) or 403
-  virtual absl::StatusOr<std::unique_ptr<TokenStream>> Generate(const net::Address& aEngine,
-                                                                const GenerateRequest& aRequest) = 0;
+  virtual absl::StatusOr<std::unique_ptr<TokenStream>> Generate(
+    const net::Address& aEngine,
+    const GenerateRequest& aRequest) = 0;
 
   /// @brief Cancels an attempt. An unknown attempt is no error.
   virtual absl::Status Cancel(const net::Address& aEngine,
--- a/include/plantainslip/targets/errors.hpp
+++ b/include/plantainslip/targets/errors.hpp
@@ -17,9 +17,7 @@
                                                   "targets.refused",
                                                   absl::StatusCode::kFailedPrecondition };
 /// @brief Bytes were sent and no whole answer came. Example: an engine that crashes.
-inline constexpr core::ErrorDescription kLost{ 403,
-                                               "targets.lost",
-                                               absl::StatusCode::kUnknown };
+inline constexpr core::ErrorDescription kLost{ 403, "targets.lost", absl::StatusCode::kUnknown };
 /// @brief The answer cannot be read. Example: a chunk without an offset.
 inline constexpr core::ErrorDescription kBadAnswer{ 404,
                                                     "targets.bad_answer",
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Checks formatting with clang-format and the code with clang-tidy. `--fix` formats in place.
 set -eu
 cd "$(dirname "$0")/.."
-files=$(git ls-files '*.cpp' '*.hpp')
+files=$(git ls-files -co --exclude-standard '*.cpp' '*.hpp')
 if [ "${1:-}" = --fix ]; then
   # shellcheck disable=SC2086
   clang-format -i $files
--- a/src/authority/zone_lease.cpp
+++ b/src/authority/zone_lease.cpp
@@ -25,8 +25,7 @@
   // The duration counts from before the call was sent, since the store may start it then.
   const core::MonotonicTime sentAt = this->clock.Now();
   if (this->Token().has_value()) {
-    this->Adopt(this->store.RenewLease(this->Name(), *this->token, this->options.duration),
-                sentAt);
+    this->Adopt(this->store.RenewLease(this->Name(), *this->token, this->options.duration), sentAt);
     return;
   }
   this->token.reset();
--- a/src/claims/store_claim_book.cpp
+++ b/src/claims/store_claim_book.cpp
@@ -40,8 +40,7 @@
       return core::MakeError(errors::kBadKey, "the key must have 1 to 128 bytes");
     }
     const json claim = { { "request", aRequest.Text() } };
-    const auto written =
-      this->store.CompareAndSwap(StoreKey(aKey), core::Revision(), claim.dump());
+    const auto written = this->store.CompareAndSwap(StoreKey(aKey), core::Revision(), claim.dump());
     if (written.ok()) {
       return ClaimResult{ true, std::nullopt };
     }
--- a/src/config/commands/submit_patch.cpp
+++ b/src/config/commands/submit_patch.cpp
@@ -102,8 +102,8 @@
   }
   const auto sinceEpoch =
     std::chrono::duration_cast<std::chrono::milliseconds>(aNow.time_since_epoch());
-  next.history.push_back({ next.version, aSubmission.patch, aSubmission.author,
-                           sinceEpoch.count(), change.dump() });
+  next.history.push_back(
+    { next.version, aSubmission.patch, aSubmission.author, sinceEpoch.count(), change.dump() });
   if (next.history.size() > kKeptHistoryEntries) {
     next.history.erase(next.history.begin());
   }
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -38,8 +38,7 @@
 {
   for (const auto& item : aSection.items()) {
     const std::string where = "deployments/" + item.key();
-    const absl::Status known =
-      CheckFields(item.value(), where, { "model", "version", "adapters" });
+    const absl::Status known = CheckFields(item.value(), where, { "model", "version", "adapters" });
     if (!known.ok()) {
       return known;
     }
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -142,8 +142,7 @@
         this->ReadReport(engine);
       }
     }
-    this->After(
-      this->reportTimer, this->options.reportInterval, [this] { this->ReadReports(); });
+    this->After(this->reportTimer, this->options.reportInterval, [this] { this->ReadReports(); });
   }
 
   void ReadReport(const EngineView& aEngine)
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -17,19 +17,17 @@
 absl::Status
 MakeError(const ErrorDescription& aError, absl::string_view aDetail)
 {
-  const std::string message = absl::StrCat(
-    "[", aError.number, " ", std::string(aError.name), "] ", aDetail);
+  const std::string message =
+    absl::StrCat("[", aError.number, " ", std::string(aError.name), "] ", aDetail);
   absl::Status status(aError.kind, message);
-  status.SetPayload(kNumberPayload,
-                    absl::Cord(absl::StrCat(aError.number)));
+  status.SetPayload(kNumberPayload, absl::Cord(absl::StrCat(aError.number)));
   return status;
 }
 
 std::optional<int>
 ErrorNumber(const absl::Status& aStatus)
 {
-  const auto payload =
-    aStatus.GetPayload(kNumberPayload);
+  const auto payload = aStatus.GetPayload(kNumberPayload);
   if (!payload.has_value()) {
     return std::nullopt;
   }
--- a/src/net/http_stream.cpp
+++ b/src/net/http_stream.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <limits>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -44,7 +45,8 @@
   BeastStream()
     : stream(context)
   {
-    this->parser.body_limit(boost::none);
+    // Beast 1.74 refuses every body of a stated length if the limit is boost::none.
+    this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   }
 
   absl::Status Connect(const Address& aAddress, const HttpRequest& aRequest)
@@ -74,10 +76,10 @@
     this->RunToEnd();
     if (!failure) {
       this->stream.expires_after(aRequest.timeout);
-      http::async_read_header(
-        this->stream, this->buffer, this->parser, [&](beast::error_code aCode, std::size_t) {
-          failure = aCode;
-        });
+      http::async_read_header(this->stream,
+                              this->buffer,
+                              this->parser,
+                              [&](beast::error_code aCode, std::size_t) { failure = aCode; });
       this->RunToEnd();
     }
     if (failure) {
@@ -96,10 +98,10 @@
       this->parser.get().body().size = piece.size();
       beast::error_code failure;
       this->stream.expires_after(aTimeout);
-      http::async_read_some(
-        this->stream, this->buffer, this->parser, [&](beast::error_code aCode, std::size_t) {
-          failure = aCode;
-        });
+      http::async_read_some(this->stream,
+                            this->buffer,
+                            this->parser,
+                            [&](beast::error_code aCode, std::size_t) { failure = aCode; });
       this->RunToEnd();
       if (failure && failure != http::error::need_buffer) {
         return core::MakeError(errors::kNoAnswer, failure.message());
--- a/src/platform/http_store.cpp
+++ b/src/platform/http_store.cpp
@@ -65,8 +65,8 @@
                              aKey + " has " + std::to_string(aValue.size()) + " bytes");
     }
     const json body = { { "expected", aExpected.Number() }, { "value", aValue } };
-    auto answer = this->Call("PUT", "/v1/kv?key=" + net::EncodeQueryValue(aKey), body.dump(),
-                             this->timeout);
+    auto answer =
+      this->Call("PUT", "/v1/kv?key=" + net::EncodeQueryValue(aKey), body.dump(), this->timeout);
     if (!answer.ok()) {
       return answer.status();
     }
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -105,12 +105,12 @@
     const AttemptEnd end = this->RunAttempt(aEngine);
     this->context.inFlight.Remove(aEngine.target);
     if (end == AttemptEnd::kCallerGone) {
-      const absl::Status cancelled = this->context.engines.Cancel(
-        aEngine.address, this->requestId, this->assembly.Attempt());
-      core::Log(core::LogLevel::kInfo,
-                "caller gone",
-                { { "request", this->requestId.Text() },
-                  { "cancelled", cancelled.ok() ? "yes" : "no" } });
+      const absl::Status cancelled =
+        this->context.engines.Cancel(aEngine.address, this->requestId, this->assembly.Attempt());
+      core::Log(
+        core::LogLevel::kInfo,
+        "caller gone",
+        { { "request", this->requestId.Text() }, { "cancelled", cancelled.ok() ? "yes" : "no" } });
     }
     return end;
   }
@@ -140,8 +140,7 @@
         case ChunkVerdict::kDrop:
           break;
         case ChunkVerdict::kBroken:
-          this->RememberFailure(
-            core::MakeError(targets::errors::kBadAnswer, "a piece is missing"));
+          this->RememberFailure(core::MakeError(targets::errors::kBadAnswer, "a piece is missing"));
           return AttemptEnd::kFailed;
       }
     }
--- a/src/requests/operator_calls.cpp
+++ b/src/requests/operator_calls.cpp
@@ -51,8 +51,7 @@
     return;
   }
   const config::ConfigurationRecord empty;
-  const std::string record =
-    stored->has_value() ? (*stored)->value : config::FormatRecord(empty);
+  const std::string record = stored->has_value() ? (*stored)->value : config::FormatRecord(empty);
   aExchange.Respond(kOk, "application/json", record);
 }
 
@@ -95,9 +94,12 @@
 json
 DescribeEngine(const control::EngineView& aEngine)
 {
-  json line = { { "name", aEngine.target.Text() },     { "kind", "engine" },
-                { "zone", aEngine.zone.Text() },       { "address", aEngine.address.Text() },
-                { "leaving", aEngine.leaving },        { "serves", aEngine.deployment.Text() },
+  json line = { { "name", aEngine.target.Text() },
+                { "kind", "engine" },
+                { "zone", aEngine.zone.Text() },
+                { "address", aEngine.address.Text() },
+                { "leaving", aEngine.leaving },
+                { "serves", aEngine.deployment.Text() },
                 { "reported", aEngine.report.has_value() } };
   if (aEngine.report.has_value()) {
     line["role"] = targets::RoleName(aEngine.report->role);
--- a/src/requests/service_calls.cpp
+++ b/src/requests/service_calls.cpp
@@ -70,8 +70,7 @@
     const auto view = this->context.board.Current();
     if (view->configuration != nullptr) {
       const auto rule = view->configuration->services.find(parsed.service);
-      parsed.repeatable =
-        rule != view->configuration->services.end() && rule->second.repeatable;
+      parsed.repeatable = rule != view->configuration->services.end() && rule->second.repeatable;
     }
     return parsed;
   }
@@ -120,8 +119,7 @@
     const auto claim = this->context.claims.Claim(aParsed.call.key, this->requestId);
     if (!claim.ok()) {
       const bool claimed = core::IsError(claim.status(), claims::errors::kClaimedBefore);
-      return this->Fail(claim.status(),
-                        claimed ? core::Outcome::kUnknown : core::Outcome::kNotRun);
+      return this->Fail(claim.status(), claimed ? core::Outcome::kUnknown : core::Outcome::kNotRun);
     }
     if (!claim->granted) {
       return this->Answer(claim->recorded->status, claim->recorded->body);
@@ -139,10 +137,10 @@
     const absl::Status recorded = this->context.claims.Record(
       aParsed.call.key, this->requestId, { reply->status, reply->body });
     if (!recorded.ok()) {
-      core::Log(core::LogLevel::kWarning,
-                "outcome not recorded",
-                { { "request", this->requestId.Text() },
-                  { "problem", std::string(recorded.message()) } });
+      core::Log(
+        core::LogLevel::kWarning,
+        "outcome not recorded",
+        { { "request", this->requestId.Text() }, { "problem", std::string(recorded.message()) } });
     }
     return this->Answer(reply->status, reply->body);
   }
--- a/src/targets/engine.cpp
+++ b/src/targets/engine.cpp
@@ -7,8 +7,8 @@
 core::Outcome
 OutcomeOfFailure(const absl::Status& aStatus)
 {
-  const bool neverStarted = core::IsError(aStatus, errors::kUnreachable) ||
-                            core::IsError(aStatus, errors::kRefused);
+  const bool neverStarted =
+    core::IsError(aStatus, errors::kUnreachable) || core::IsError(aStatus, errors::kRefused);
   return neverStarted ? core::Outcome::kNotRun : core::Outcome::kUnknown;
 }
 
--- a/src/targets/http_engine_client.cpp
+++ b/src/targets/http_engine_client.cpp
@@ -106,9 +106,9 @@
 json
 ToJson(const EngineOrder& aOrder)
 {
-  return { { "order", aOrder.order.Text() },         { "token", aOrder.token.Number() },
-           { "kind", OrderKindName(aOrder.kind) },   { "model", aOrder.model },
-           { "version", aOrder.version },            { "adapter", aOrder.adapter },
+  return { { "order", aOrder.order.Text() },       { "token", aOrder.token.Number() },
+           { "kind", OrderKindName(aOrder.kind) }, { "model", aOrder.model },
+           { "version", aOrder.version },          { "adapter", aOrder.adapter },
            { "role", RoleName(aOrder.role) } };
 }
 
@@ -155,8 +155,7 @@
       return TurnNetError(stream.status());
     }
     if ((*stream)->StatusCode() != kOk) {
-      return core::MakeError(errors::kRefused,
-                             "status " + std::to_string((*stream)->StatusCode()));
+      return core::MakeError(errors::kRefused, "status " + std::to_string((*stream)->StatusCode()));
     }
     return std::make_unique<HttpTokenStream>(*std::move(stream), aRequest.timeout);
   }
--- a/tests/fakes/engine_main.cpp
+++ b/tests/fakes/engine_main.cpp
@@ -168,8 +168,8 @@
   {
     const std::string request = aText.at("request");
     const std::uint64_t attempt = aText.at("attempt");
-    const std::string name = aText.at("model").get<std::string>() + "@" +
-                             aText.at("version").get<std::string>();
+    const std::string name =
+      aText.at("model").get<std::string>() + "@" + aText.at("version").get<std::string>();
     const std::string prompt = aText.at("prompt");
     const std::uint64_t length = aText.at("max_tokens");
     const std::string attemptName = request + "/" + std::to_string(attempt);
@@ -223,11 +223,11 @@
   line.Add("model", settings.model, "Model that is loaded at the start", "Engine");
   line.Add("model-version", settings.version, "Version that is loaded at the start", "Engine");
   line.Add("role", settings.role, "Role at the start", "Engine");
-  line.Add("token-interval-us", settings.tokenIntervalUs, "Time for one token; microseconds",
-           "Engine");
+  line.Add(
+    "token-interval-us", settings.tokenIntervalUs, "Time for one token; microseconds", "Engine");
   line.Add("change-ms", settings.changeMs, "Time that an order takes; milliseconds", "Engine");
-  line.Add("checks-fencing", settings.checksFencing, "Whether old fencing tokens are refused",
-           "Engine");
+  line.Add(
+    "checks-fencing", settings.checksFencing, "Whether old fencing tokens are refused", "Engine");
   if (const auto exitCode = line.Parse(aCount, aArguments); exitCode.has_value()) {
     return *exitCode;
   }
--- a/tests/fakes/fake_process.cpp
+++ b/tests/fakes/fake_process.cpp
@@ -27,12 +27,13 @@
   net::HttpRequest request;
   request.method = "POST";
   request.target = "/v1/instances";
-  request.body = json{ { "name", aSettings.name },
-                       { "zone", aSettings.zone },
-                       { "kind", aKind },
-                       { "service", aService },
-                       { "address", aAddress.Text() } }
-                   .dump();
+  request.body = json{
+    { "name", aSettings.name },
+    { "zone", aSettings.zone },
+    { "kind", aKind },
+    { "service", aService },
+    { "address", aAddress.Text() }
+  }.dump();
   const auto reply = net::CallHttp(*platform, request);
   if (!reply.ok()) {
     std::cerr << "cannot be listed: " << reply.status().message() << "\n";
--- a/tests/fakes/platform_main.cpp
+++ b/tests/fakes/platform_main.cpp
@@ -90,10 +90,11 @@
     }
     const std::string key = aExchange.Query("key").value_or("");
     const auto after = aExchange.Query("after");
-    const auto wait = std::chrono::milliseconds(std::stoll(aExchange.Query("wait_ms").value_or("0")));
-    const auto stored =
-      after.has_value() ? this->store.Watch(key, core::Revision(std::stoull(*after)), wait)
-                        : this->store.Get(key);
+    const auto wait =
+      std::chrono::milliseconds(std::stoll(aExchange.Query("wait_ms").value_or("0")));
+    const auto stored = after.has_value()
+                          ? this->store.Watch(key, core::Revision(std::stoull(*after)), wait)
+                          : this->store.Get(key);
     if (!stored.ok()) {
       Fail(aExchange, stored.status());
     } else if (!stored->has_value()) {
