--- a/include/plantainslip/authority/controller.hpp
+++ b/include/plantainslip/authority/controller.hpp
@@ -38,7 +38,7 @@
 {
 public:
   /// @brief Connects a controller; nothing is held or sent yet.
-  Controller(ControllerPorts aPorts, ZoneLeaseOptions aOptions);
+  Controller(ControllerPorts aPorts, const ZoneLeaseOptions& aOptions);
 
   /// @brief Keeps the lease, and if it is held brings every engine one step further.
   void Step();
--- a/src/authority/controller.cpp
+++ b/src/authority/controller.cpp
@@ -43,7 +43,7 @@
   return std::nullopt;
 }
 
-Controller::Controller(ControllerPorts aPorts, ZoneLeaseOptions aOptions)
+Controller::Controller(ControllerPorts aPorts, const ZoneLeaseOptions& aOptions)
   : ports(aPorts)
   , zone(aOptions.zone)
   , lease(aPorts.store, aPorts.clock, aOptions)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kErrorTextBytes = 256;
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16'384;
 constexpr std::size_t kEncodedByteLength = 3;
 constexpr int kNoTls = 0;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16'384;
 constexpr std::size_t kQueryValueBytes = 4096;
 constexpr int kHandled = 200;
 
--- a/src/net/http_stream.cpp
+++ b/src/net/http_stream.cpp
@@ -18,7 +18,7 @@
 namespace http = boost::beast::http;
 
 constexpr int kHttpVersion = 11;
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = 16'384;
 
 http::request<http::string_body>
 ToBeastRequest(const Address& aAddress, const HttpRequest& aRequest)
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -50,6 +50,7 @@
   std::vector<std::string> texts = aArguments;
   texts.insert(texts.begin(), path);
   std::vector<char*> arguments;
+  arguments.reserve(texts.size() + 1);
   for (std::string& text : texts) {
     arguments.push_back(text.data());
   }
