--- a/include/plantainslip/control/fleet_view.hpp
+++ b/include/plantainslip/control/fleet_view.hpp
@@ -43,6 +43,8 @@
   core::InstanceId instance;
   core::ZoneId zone;
   net::Address address;
+  /// @brief Where the instance listens for its peers; port 0 if that is not known.
+  net::Address peerAddress;
   bool leaving = false;
 };
 
--- a/include/plantainslip/platform/instance_list.hpp
+++ b/include/plantainslip/platform/instance_list.hpp
@@ -26,6 +26,8 @@
   core::ZoneId zone;
   ListedKind kind = ListedKind::kEntry;
   net::Address address;
+  /// @brief Where an entry instance listens for its peers; port 0 if it is not listed.
+  net::Address peerAddress;
   /// @brief Name of the plain service; empty for others.
   core::ServiceName service;
   /// @brief Whether the instance is about to go.
--- a/src/control/view_builder.cpp
+++ b/src/control/view_builder.cpp
@@ -47,8 +47,13 @@
   view->configuration = this->configuration;
   for (const platform::ListedInstance& listed : this->list) {
     if (listed.kind == platform::ListedKind::kEntry) {
-      view->entries.push_back(
-        { core::InstanceId(listed.name), listed.zone, listed.address, listed.leaving });
+      EntryView entry;
+      entry.instance = core::InstanceId(listed.name);
+      entry.zone = listed.zone;
+      entry.address = listed.address;
+      entry.peerAddress = listed.peerAddress;
+      entry.leaving = listed.leaving;
+      view->entries.push_back(std::move(entry));
       continue;
     }
     const core::TargetId target(listed.name);
--- a/src/platform/http_instance_list.cpp
+++ b/src/platform/http_instance_list.cpp
@@ -34,6 +34,8 @@
   instance.zone = core::ZoneId(aLine.at("zone").get<std::string>());
   instance.kind = ParseKind(aLine.at("kind").get<std::string>());
   instance.address = *address;
+  const auto peerAddress = net::Address::Parse(aLine.value("peer_address", std::string()));
+  instance.peerAddress = peerAddress.value_or(net::Address{});
   instance.service = core::ServiceName(aLine.value("service", std::string()));
   instance.leaving = aLine.value("leaving", false);
   return instance;
