Fake engine: crash in the middle of a change, orders taken and not carried out

Cause: the tests of orders need an engine that loses a change half-way and one that ignores an order. A fault of the fake, ordered by POST /v1/faults; without it nothing changes.

--- a/tests/fakes/engine_main.cpp
+++ b/tests/fakes/engine_main.cpp
@@ -1,7 +1,9 @@
 // Fake model engine: streams tokens that depend on model, prompt and position only.
 //
 // A test orders faults with POST /v1/faults {"crash_after_tokens": number}: the next answers are
-// cut after so many tokens.
+// cut after so many tokens. Faults of orders: {"crash_in_change": true} makes the engine start
+// anew, with nothing loaded, in the middle of its next change; {"ignore_orders": number} makes it
+// take so many orders without carrying them out.
 
 #include <atomic>
 #include <mutex>
@@ -68,6 +70,7 @@
       aExchange.Respond(kOk, "application/json", R"({"events":[]})");
     } else if (call == "POST /v1/faults") {
       this->crashAfterTokens = text.value("crash_after_tokens", std::int64_t{ -1 });
+      this->SetOrderFaults(text);
       aExchange.Respond(kOk, "application/json", "{}");
     } else {
       aExchange.Respond(kNotFound, "text/plain", call);
@@ -75,9 +78,31 @@
   }
 
 private:
+  void SetOrderFaults(const json& aText)
+  {
+    const std::scoped_lock lock(this->mutex);
+    this->crashInChange = aText.value("crash_in_change", false);
+    this->ordersToIgnore = aText.value("ignore_orders", std::uint64_t{ 0 });
+  }
+
+  void StartAnew()
+  {
+    this->crashInChange = false;
+    this->changing = false;
+    this->model = this->settings.model;
+    this->version = this->settings.version;
+    this->role = this->settings.role;
+    this->adapters.clear();
+    this->lastOrder.clear();
+    this->highestToken = 0;
+  }
+
   // An order takes effect some time after it was taken; until then the engine takes no work.
   void FinishChangeIfDue()
   {
+    if (this->changing && this->crashInChange) {
+      this->StartAnew();
+    }
     if (this->changing && std::chrono::steady_clock::now() >= this->changeEndsAt) {
       this->changing = false;
       this->model = this->pending.at("model");
@@ -117,7 +142,9 @@
     const bool fenced = this->settings.checksFencing && token < this->highestToken;
     const bool repeated = aText.at("order") == this->lastOrder;
     const int status = fenced ? kForbidden : (this->changing && !repeated ? kConflict : kOk);
-    if (status == kOk && !repeated) {
+    if (status == kOk && !repeated && this->ordersToIgnore > 0) {
+      --this->ordersToIgnore;
+    } else if (status == kOk && !repeated) {
       record["accepted"] = true;
       this->lastOrder = aText.at("order");
       this->pending = aText;
@@ -207,6 +234,8 @@
   json orders = json::array();
   json pending;
   bool changing = false;
+  bool crashInChange = false;
+  std::uint64_t ordersToIgnore = 0;
   std::chrono::steady_clock::time_point changeEndsAt;
   std::atomic<std::uint64_t> running = 0;
   std::atomic<std::int64_t> crashAfterTokens = -1;
