Carry messages between entry instances by HTTP/2

Cause: spill-over, configuration pushes and drain marks need a way between instances that says truthfully whether a message was sent. Ruled out: waiting for whole pieces before reopening a stream's window, since a piece of 5 MB then stalled itself (unit test red, then green). Conclusion: wired into the entry instance, the harness and start-fleet.sh; no handler is registered yet.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -6,6 +6,8 @@
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/http_server.hpp>
+#include <plantainslip/peers/peer_client.hpp>
+#include <plantainslip/peers/peer_server.hpp>
 #include <plantainslip/platform/http_platform.hpp>
 #include <plantainslip/requests/dispatcher.hpp>
 
@@ -30,6 +32,9 @@
   std::uint16_t port = 0;
   std::string platform;
   std::string operatorKey;
+  std::uint16_t peerPort = 0;
+  std::string peerKey;
+  unsigned peerThreads = 64;
   unsigned threads = 256;
   int lingerMs = 0;
 };
@@ -47,6 +52,17 @@
     ->check(&apps::CheckAddress);
   aLine.Add(
     "operator-key", aSettings.operatorKey, "Key that operators prove themselves with", "Security");
+  aLine
+    .Add(
+      "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
+    ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
+  aLine.Add("peer-key",
+            aSettings.peerKey,
+            "Key that peers prove themselves with; without it all are refused",
+            "Security");
+  aLine
+    .Add("peer-threads", aSettings.peerThreads, "Most peers' messages worked on at once", "Traffic")
+    ->check(CLI::Range(1U, kMostThreads));
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
@@ -57,6 +73,17 @@
     ->check(CLI::Range(0, 600'000));
 }
 
+absl::StatusOr<std::unique_ptr<peers::PeerServer>>
+ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
+{
+  peers::PeerServerOptions options;
+  options.host = aSettings.host;
+  options.port = aSettings.peerPort;
+  options.key = aSettings.peerKey;
+  options.threads = aSettings.peerThreads;
+  return peers::PeerServer::Create(options, std::move(aHandlers));
+}
+
 int
 Serve(const Settings& aSettings)
 {
@@ -67,6 +94,7 @@
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
   const auto claimBook = claims::MakeStoreClaimBook(*store);
+  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey);
   control::ViewBoard board;
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
@@ -76,6 +104,7 @@
                                     .engines = *engines,
                                     .services = *services,
                                     .claims = *claimBook,
+                                    .peers = *peerClient,
                                     .board = board,
                                     .gate = {},
                                     .ledger = {},
@@ -84,6 +113,12 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
+  peers::PeerHandlers peerHandlers;
+  const auto peerServer = ServePeers(aSettings, std::move(peerHandlers));
+  if (!peerServer.ok()) {
+    std::cerr << peerServer.status().message() << "\n";
+    return apps::kExitFailed;
+  }
   control::ControlLoopOptions controlOptions;
   controlOptions.zone = context.zone;
   const auto loop =
@@ -98,8 +133,10 @@
     std::cerr << server.status().message() << "\n";
     return apps::kExitFailed;
   }
-  core::Log(
-    core::LogLevel::kInfo, "listening", { { "address", (*server)->ListeningAddress().Text() } });
+  core::Log(core::LogLevel::kInfo,
+            "listening",
+            { { "address", (*server)->ListeningAddress().Text() },
+              { "peer_address", (*peerServer)->ListeningAddress().Text() } });
 
   apps::WaitForStopSignal();
   core::Log(
@@ -108,6 +145,7 @@
   context.gate.WaitUntilEmpty();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
+  (*peerServer)->Stop();
   loop->Stop();
   core::Log(core::LogLevel::kInfo, "stopped");
   return apps::kExitDone;
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -9,6 +9,7 @@
 #include <plantainslip/core/random.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
+#include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/requests/drain_gate.hpp>
 #include <plantainslip/routing/in_flight.hpp>
@@ -29,6 +30,7 @@
   targets::EngineClient& engines;
   targets::ServiceClient& services;
   claims::ClaimBook& claims;
+  peers::PeerClient& peers;
   control::ViewBoard& board;
 
   DrainGate gate;
--- a/scripts/start-fleet.sh
+++ b/scripts/start-fleet.sh
@@ -13,6 +13,7 @@
 logs=.fleet
 mkdir -p $logs
 export PLANTAINSLIP_OPERATOR_KEY=${PLANTAINSLIP_OPERATOR_KEY:-example-operator-key}
+export PLANTAINSLIP_PEER_KEY=${PLANTAINSLIP_PEER_KEY:-example-peer-key}
 platform=127.0.0.1:$((first + 90))
 processes=""
 stop_fleet() {
@@ -40,7 +41,8 @@
 }
 list_entry() {
   curl -sf "http://$platform/v1/instances" \
-    -d "{\"name\":\"$1\",\"zone\":\"$2\",\"kind\":\"entry\",\"address\":\"127.0.0.1:$3\"}"
+    -d "{\"name\":\"$1\",\"zone\":\"$2\",\"kind\":\"entry\",\"address\":\"127.0.0.1:$3\",
+         \"peer_address\":\"127.0.0.1:$4\"}"
 }
 start platform build/tests/fake-platform --port $((first + 90))
 await curl -sf "http://$platform/v1/instances"
@@ -57,10 +59,11 @@
   for number in 1 2 3; do
     name=entry-$zone-$number
     start "$name" build/apps/plantainslip-entry --instance "$name" --zone $zone --port $port \
+      --peer-port $((port + 50)) \
       --platform "$platform"
     start "controller-$zone-$number" build/apps/plantainslip-controller --instance "$name" \
       --zone $zone --platform "$platform"
-    await list_entry "$name" $zone $port
+    await list_entry "$name" $zone $port $((port + 50))
     port=$((port + 1))
   done
 done
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -121,6 +121,20 @@
   }
 }
 
+net::Address
+ChildProcess::PeerAddress() const
+{
+  const std::string mark = "\"peer_address\":\"";
+  const std::string output = this->Output();
+  const std::size_t at = output.find(mark);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + mark.size();
+  return net::Address::Parse(output.substr(begin, output.find('"', begin) - begin))
+    .value_or(net::Address{});
+}
+
 void
 ChildProcess::Signal(int aSignal) const
 {
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -31,6 +31,9 @@
   /// @brief Gives the address that the program printed.
   const net::Address& ListeningAddress() const { return this->address; }
 
+  /// @brief Gives the address for peers that an entry instance printed; port 0 for others.
+  net::Address PeerAddress() const;
+
   /// @brief Sends a signal.
   void Signal(int aSignal) const;
 
--- a/tests/harness/small_fleet.cpp
+++ b/tests/harness/small_fleet.cpp
@@ -64,6 +64,8 @@
                                                      aZone,
                                                      "--operator-key",
                                                      kOperatorKey,
+                                                     "--peer-key",
+                                                     kPeerKey,
                                                      "--platform",
                                                      this->platform->ListeningAddress().Text() },
                                                    aFlags)));
@@ -73,7 +75,8 @@
        { { "name", aName },
          { "zone", aZone },
          { "kind", "entry" },
-         { "address", entry.ListeningAddress().Text() } });
+         { "address", entry.ListeningAddress().Text() },
+         { "peer_address", entry.PeerAddress().Text() } });
   return entry;
 }
 
--- a/tests/harness/small_fleet.hpp
+++ b/tests/harness/small_fleet.hpp
@@ -15,6 +15,9 @@
 /// @brief Key that the operators of a test fleet prove themselves with.
 inline constexpr const char* kOperatorKey = "test-operator-key";
 
+/// @brief Key that the processes of a test fleet prove themselves to each other with.
+inline constexpr const char* kPeerKey = "test-peer-key";
+
 /// @brief A fake platform and whatever processes a test adds, all on loopback.
 class SmallFleet
 {
--- /dev/null
+++ b/tests/src/unit-peers.cpp
@@ -0,0 +1,230 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include <plantainslip/peers/errors.hpp>
+#include <plantainslip/peers/peer_client.hpp>
+#include <plantainslip/peers/peer_server.hpp>
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr std::chrono::seconds kTimeout(20);
+constexpr std::chrono::milliseconds kShort(50);
+
+std::unique_ptr<peers::PeerServer>
+Serve(peers::PeerHandlers aHandlers, unsigned aThreads = 16)
+{
+  peers::PeerServerOptions options;
+  options.key = "key";
+  options.threads = aThreads;
+  return *peers::PeerServer::Create(options, std::move(aHandlers));
+}
+
+peers::PeerHandlers
+Echo()
+{
+  peers::PeerHandlers handlers;
+  handlers.calls["echo"] = [](const std::string& aBody) { return aBody; };
+  return handlers;
+}
+
+} // namespace
+
+TEST_CASE("a call between peers")
+{
+  auto client = peers::MakeHttp2PeerClient("key");
+
+  SUBCASE("gets the whole answer, also when it is larger than a window")
+  {
+    const auto server = Serve(Echo());
+    const std::string body(5'000'000, 'x');
+    const auto answer = client->Call(server->ListeningAddress(), "echo", body, kTimeout);
+    REQUIRE(answer.ok());
+    CHECK(*answer == body);
+  }
+
+  SUBCASE("shares one connection with many others and gets its own answer")
+  {
+    const auto server = Serve(Echo());
+    std::atomic<int> wrong = 0;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 8; ++caller) {
+      callers.emplace_back([&, caller] {
+        for (int call = 0; call < 50; ++call) {
+          const std::string body = std::to_string(caller) + "/" + std::to_string(call);
+          const auto answer = client->Call(server->ListeningAddress(), "echo", body, kTimeout);
+          wrong += answer.ok() && *answer == body ? 0 : 1;
+        }
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    CHECK(wrong == 0);
+  }
+
+  SUBCASE("is refused when nobody knows its kind")
+  {
+    const auto server = Serve(Echo());
+    const auto answer = client->Call(server->ListeningAddress(), "none", "", kTimeout);
+    CHECK(core::IsError(answer.status(), peers::errors::kRefused));
+  }
+
+  SUBCASE("is refused without the key, and an empty key is none")
+  {
+    const auto server = Serve(Echo());
+    for (const char* key : { "", "kez", "key2" }) {
+      const auto other = peers::MakeHttp2PeerClient(key);
+      const auto answer = other->Call(server->ListeningAddress(), "echo", "", kTimeout);
+      CHECK(core::IsError(answer.status(), peers::errors::kNotAuthorized));
+    }
+  }
+
+  SUBCASE("is refused when its body is over the limit")
+  {
+    const auto server = Serve(Echo());
+    const std::string body(9'000'000, 'x');
+    const auto answer = client->Call(server->ListeningAddress(), "echo", body, kTimeout);
+    CHECK(core::IsError(answer.status(), peers::errors::kRefused));
+  }
+
+  SUBCASE("carries the handler's refusal")
+  {
+    peers::PeerHandlers handlers;
+    handlers.calls["no"] = [](const std::string&) -> absl::StatusOr<std::string> {
+      return absl::InternalError("because");
+    };
+    const auto server = Serve(std::move(handlers));
+    const auto answer = client->Call(server->ListeningAddress(), "no", "", kTimeout);
+    CHECK(core::IsError(answer.status(), peers::errors::kRefused));
+    CHECK(answer.status().message().find("because") != absl::string_view::npos);
+  }
+
+  SUBCASE("is unreachable when nobody listens")
+  {
+    auto server = Serve(Echo());
+    const net::Address address = server->ListeningAddress();
+    server->Stop();
+    const auto answer = client->Call(address, "echo", "", kTimeout);
+    CHECK(core::IsError(answer.status(), peers::errors::kUnreachable));
+  }
+
+  SUBCASE("is lost when no answer comes in time, and the next one is answered")
+  {
+    std::promise<void> release;
+    auto released = release.get_future().share();
+    peers::PeerHandlers handlers = Echo();
+    handlers.calls["wait"] = [released](const std::string& aBody) {
+      released.wait();
+      return aBody;
+    };
+    const auto server = Serve(std::move(handlers));
+    const auto answer = client->Call(server->ListeningAddress(), "wait", "", kShort);
+    CHECK(core::IsError(answer.status(), peers::errors::kLost));
+    CHECK(client->Call(server->ListeningAddress(), "echo", "x", kTimeout).ok());
+    release.set_value();
+  }
+
+  SUBCASE("beyond what the server takes is provably refused")
+  {
+    std::promise<void> release;
+    auto released = release.get_future().share();
+    peers::PeerHandlers handlers;
+    handlers.calls["wait"] = [released](const std::string& aBody) {
+      released.wait();
+      return aBody;
+    };
+    const auto server = Serve(std::move(handlers), 1);
+    constexpr int kCalls = 30;
+    constexpr int kTaken = 1 + 16;
+    std::atomic<int> answered = 0;
+    std::atomic<int> refused = 0;
+    std::vector<std::thread> callers;
+    for (int call = 0; call < kCalls; ++call) {
+      callers.emplace_back([&] {
+        const auto answer = client->Call(server->ListeningAddress(), "wait", "", kTimeout);
+        answered += answer.ok() ? 1 : 0;
+        const bool provably = core::IsError(answer.status(), peers::errors::kUnreachable);
+        if (provably && ++refused == kCalls - kTaken) {
+          release.set_value();
+        }
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    CHECK(refused == kCalls - kTaken);
+    CHECK(answered == kTaken);
+  }
+}
+
+TEST_CASE("a streamed answer between peers")
+{
+  auto client = peers::MakeHttp2PeerClient("key");
+  peers::PeerHandlers handlers;
+  std::promise<bool> gone;
+  handlers.streams["count"] = [](const std::string& aBody, const peers::SendPiece& aSend) {
+    for (int piece = 0; piece < std::stoi(aBody); ++piece) {
+      aSend(std::to_string(piece));
+    }
+    return absl::OkStatus();
+  };
+  handlers.streams["break"] = [](const std::string&, const peers::SendPiece& aSend) {
+    aSend("first");
+    return absl::InternalError("broken");
+  };
+  handlers.streams["endless"] = [&gone](const std::string&, const peers::SendPiece& aSend) {
+    while (aSend(std::string(10'000, 'x'))) {
+    }
+    gone.set_value(true);
+    return absl::OkStatus();
+  };
+  auto server = Serve(std::move(handlers));
+  const net::Address address = server->ListeningAddress();
+
+  SUBCASE("arrives piece by piece as it was sent, then ends")
+  {
+    const auto stream = client->OpenStream(address, "count", "1000", kTimeout);
+    REQUIRE(stream.ok());
+    for (int piece = 0; piece < 1000; ++piece) {
+      const auto next = (*stream)->Next();
+      REQUIRE(next.ok());
+      REQUIRE(next->value_or("") == std::to_string(piece));
+    }
+    CHECK_FALSE((*stream)->Next()->has_value());
+  }
+
+  SUBCASE("that ends with an error is never passed as whole")
+  {
+    const auto stream = client->OpenStream(address, "break", "", kTimeout);
+    REQUIRE(stream.ok());
+    CHECK((*stream)->Next()->value_or("") == "first");
+    CHECK(core::IsError((*stream)->Next().status(), peers::errors::kRefused));
+  }
+
+  SUBCASE("ends at the sender when the reader goes")
+  {
+    auto stream = client->OpenStream(address, "endless", "", kTimeout);
+    REQUIRE(stream.ok());
+    CHECK((*stream)->Next()->has_value());
+    stream->reset();
+    CHECK(gone.get_future().get());
+  }
+
+  SUBCASE("is lost when the server stops, never passed as whole")
+  {
+    const auto stream = client->OpenStream(address, "endless", "", kTimeout);
+    REQUIRE(stream.ok());
+    server->Stop();
+    auto next = (*stream)->Next();
+    while (next.ok() && next->has_value()) {
+      next = (*stream)->Next();
+    }
+    CHECK_FALSE(next.ok());
+  }
+}
