Add a retry budget, jittered back-off and the rule for what may be retried

Cause: a failed attempt was repeated up to four times at once, whatever its outcome and however many others failed at that moment. The rule is pure and is offered to completions and service calls alike; wiring follows.

--- /dev/null
+++ b/src/retries/retry_policy.cpp
@@ -0,0 +1,65 @@
+#include <plantainslip/retries/retry_policy.hpp>
+
+#include <algorithm>
+
+namespace plantainslip::retries {
+
+namespace {
+
+constexpr std::uint64_t kMostDoublings = 20;
+
+} // namespace
+
+void
+RetryBudget::AddRequest()
+{
+  const std::scoped_lock lock(this->mutex);
+  this->saved = std::min(this->saved + this->options.retriesPerRequest, this->options.mostSaved);
+}
+
+bool
+RetryBudget::TakeRetry()
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->saved < 1.0) {
+    return false;
+  }
+  this->saved -= 1.0;
+  return true;
+}
+
+bool
+MayRetry(const RetryOptions& aOptions, const FailedAttempt& aFailed, core::MonotonicTime aNow)
+{
+  const bool harmless = aFailed.idempotent || aFailed.outcome == core::Outcome::kNotRun;
+  const bool attemptsLeft = aFailed.attempts < aOptions.mostAttempts;
+  return harmless && !aFailed.claimed && attemptsLeft && aNow < aFailed.deadline;
+}
+
+std::chrono::milliseconds
+DrawBackOff(const RetryOptions& aOptions, std::uint64_t aAttempts, core::RandomSource& aRandom)
+{
+  const std::uint64_t doublings = std::min(aAttempts - 1, kMostDoublings);
+  const auto bound =
+    std::min(aOptions.firstBackOff * (std::int64_t{ 1 } << doublings), aOptions.longestBackOff);
+  const auto drawn = aRandom.Below(static_cast<std::uint64_t>(bound.count()) + 1);
+  return std::chrono::milliseconds(drawn);
+}
+
+std::optional<std::chrono::milliseconds>
+DecideRetry(const FailedAttempt& aFailed,
+            core::MonotonicTime aNow,
+            RetryBudget& aBudget,
+            core::RandomSource& aRandom)
+{
+  if (!MayRetry(aBudget.Options(), aFailed, aNow)) {
+    return std::nullopt;
+  }
+  const auto wait = DrawBackOff(aBudget.Options(), aFailed.attempts, aRandom);
+  if (aNow + wait >= aFailed.deadline || !aBudget.TakeRetry()) {
+    return std::nullopt;
+  }
+  return wait;
+}
+
+} // namespace plantainslip::retries
