Admit, route, retry and spill over completions by pure decisions

Cause: an engine was taken by two random choices over lagging reports, every request was let in, and a failed attempt was repeated at once. The deadline now ends an answer.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -86,8 +86,8 @@
                                     .random = core::RandomSource(core::MakeSeed()) };
   control::ControlLoopOptions controlOptions;
   controlOptions.zone = context.zone;
-  const auto loop =
-    control::ControlLoop::Start(controlOptions, { *store, *list, *engines, clock }, board);
+  const auto loop = control::ControlLoop::Start(
+    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
--- a/include/plantainslip/control/control_loop.hpp
+++ b/include/plantainslip/control/control_loop.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 
+#include <plantainslip/control/engine_observer.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
@@ -33,6 +34,8 @@
   platform::InstanceList& list;
   targets::EngineClient& engines;
   const core::Clock& clock;
+  /// @brief Learns from the zone's engines on the control thread; may be null.
+  EngineObserver* observer = nullptr;
 };
 
 /// @brief The one thread that owns an instance's control state and publishes views of it.
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -2,6 +2,7 @@
 
 #include <mutex>
 
+#include <plantainslip/admission/admission.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
@@ -9,8 +10,11 @@
 #include <plantainslip/core/random.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
+#include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/requests/drain_gate.hpp>
+#include <plantainslip/retries/retry_policy.hpp>
+#include <plantainslip/routing/engine_knowledge.hpp>
 #include <plantainslip/routing/in_flight.hpp>
 #include <plantainslip/targets/engine.hpp>
 #include <plantainslip/targets/plain_service.hpp>
@@ -39,6 +43,14 @@
 
   std::mutex randomMutex;
   core::RandomSource random;
+
+  observe::LatencyHistogram betweenTokens{};
+  routing::EngineKnowledge knowledge{};
+  routing::RoutingOptions routing{};
+  admission::AdmissionOptions admission{};
+  retries::RetryBudget retryBudget{};
+  /// @brief Way to instances of other zones; null if requests are never spilled over.
+  peers::PeerClient* peers = nullptr;
 };
 
 } // namespace plantainslip::requests
--- a/include/plantainslip/requests/errors.hpp
+++ b/include/plantainslip/requests/errors.hpp
@@ -33,5 +33,9 @@
 inline constexpr core::ErrorDescription kTooLarge{ 707,
                                                    "requests.too_large",
                                                    absl::StatusCode::kOutOfRange };
+/// @brief The caller's deadline has passed. Example: `deadline_ms` of 100 for a long answer.
+inline constexpr core::ErrorDescription kDeadlinePassed{ 720,
+                                                         "requests.deadline_passed",
+                                                         absl::StatusCode::kDeadlineExceeded };
 
 } // namespace plantainslip::requests::errors
--- a/include/plantainslip/requests/problem.hpp
+++ b/include/plantainslip/requests/problem.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 
 #include <absl/status/status.h>
@@ -17,6 +18,8 @@
   /// @brief What is known of whether the request's work was done.
   core::Outcome outcome = core::Outcome::kNotRun;
   core::RequestId request;
+  /// @brief After how long the caller may try again; sent with statuses 429 and 503.
+  std::chrono::seconds retryAfter{ 1 };
 };
 
 /// @brief Gives the HTTP status that goes with a problem. Constant time.
--- /dev/null
+++ b/include/plantainslip/routing/engine_knowledge.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <plantainslip/control/engine_observer.hpp>
+#include <plantainslip/routing/capacity_book.hpp>
+#include <plantainslip/routing/prefix_index.hpp>
+
+namespace plantainslip::routing {
+
+/// @brief What routing learns of engines: their capacity and their prefix caches.
+/// @note Safe from any thread; no errors.
+class EngineKnowledge final : public control::EngineObserver
+{
+public:
+  void OnReport(const core::TargetId& aTarget, const targets::EngineReport& aReport) override
+  {
+    this->capacity.AdoptReport(aTarget, aReport);
+  }
+
+  void OnCacheEvents(const core::TargetId& aTarget,
+                     const std::vector<targets::CacheEvent>& aEvents) override
+  {
+    this->prefixes.Adopt(aTarget, aEvents);
+  }
+
+  void OnLost(const core::TargetId& aTarget) override { this->prefixes.Forget(aTarget); }
+
+  std::uint64_t NewestCacheEvent(const core::TargetId& aTarget) const override
+  {
+    return this->prefixes.NewestSequence(aTarget);
+  }
+
+  PrefixIndex prefixes;
+  CapacityBook capacity;
+};
+
+} // namespace plantainslip::routing
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -140,6 +140,7 @@
     for (const EngineView& engine : this->board.Current()->engines) {
       if (engine.zone == this->options.zone) {
         this->ReadReport(engine);
+        this->ReadCacheEvents(engine);
       }
     }
     this->After(this->reportTimer, this->options.reportInterval, [this] { this->ReadReports(); });
@@ -150,6 +151,7 @@
     this->CallThen(
       [this, address = aEngine.address] { return this->ports.engines.ReadReport(address); },
       [this, target = aEngine.target](absl::StatusOr<targets::EngineReport> aReport) {
+        this->Observe(target, aReport);
         if (aReport.ok()) {
           this->builder.AdoptReport(target, *std::move(aReport), this->ports.clock.Now());
         } else {
@@ -159,6 +161,35 @@
       });
   }
 
+  void Observe(const core::TargetId& aTarget, const absl::StatusOr<targets::EngineReport>& aReport)
+  {
+    if (this->ports.observer == nullptr) {
+      return;
+    }
+    if (aReport.ok()) {
+      this->ports.observer->OnReport(aTarget, *aReport);
+    } else {
+      this->ports.observer->OnLost(aTarget);
+    }
+  }
+
+  void ReadCacheEvents(const EngineView& aEngine)
+  {
+    if (this->ports.observer == nullptr) {
+      return;
+    }
+    const std::uint64_t after = this->ports.observer->NewestCacheEvent(aEngine.target);
+    this->CallThen(
+      [this, address = aEngine.address, after] {
+        return this->ports.engines.ReadCacheEvents(address, after);
+      },
+      [this, target = aEngine.target](absl::StatusOr<std::vector<targets::CacheEvent>> aEvents) {
+        if (aEvents.ok()) {
+          this->ports.observer->OnCacheEvents(target, *aEvents);
+        }
+      });
+  }
+
   void Publish() { this->board.Publish(this->builder.Build()); }
 
   ControlLoopOptions options;
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -1,6 +1,8 @@
 #include <plantainslip/requests/completions.hpp>
 
+#include <optional>
 #include <set>
+#include <thread>
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/errors.hpp>
@@ -8,8 +10,8 @@
 #include <plantainslip/requests/answer_sink.hpp>
 #include <plantainslip/requests/completion_request.hpp>
 #include <plantainslip/requests/errors.hpp>
-#include <plantainslip/routing/choose_target.hpp>
-#include <plantainslip/routing/errors.hpp>
+#include <plantainslip/requests/placement.hpp>
+#include <plantainslip/requests/spill_over.hpp>
 #include <plantainslip/targets/errors.hpp>
 
 namespace plantainslip::requests {
@@ -18,65 +20,125 @@
 
 using observe::RequestEnd;
 
-constexpr std::uint64_t kMostAttempts = 4;
 constexpr std::chrono::milliseconds kLongestEngineSilence = std::chrono::seconds(30);
 
 enum class AttemptEnd
 {
   kFinished,
   kCallerGone,
+  kDeadlinePassed,
   kFailed,
 };
 
+// When the pieces of one attempt came.
+struct AttemptTimes
+{
+  core::MonotonicTime begunAt;
+  core::MonotonicTime firstTokenAt;
+  std::uint64_t tokens = 0;
+};
+
 // One completion from its first attempt to its end.
 class CompletionRun
 {
 public:
   CompletionRun(RequestContext& aContext,
                 const CompletionRequest& aRequest,
-                core::RequestId aRequestId,
+                const CompletionStart& aStart,
                 AnswerSink& aSink)
     : context(aContext)
     , request(aRequest)
-    , requestId(aRequestId)
+    , requestId(aStart.request)
     , sink(aSink)
-    , assembly(std::move(aRequestId), core::TokenOffset())
+    , assembly(aStart.request, aStart.offset)
     , begunAt(aContext.clock.Now())
+    , lastTokenAt(this->begunAt)
+    , deadline(this->begunAt + aRequest.deadline)
+    , maySpill(aStart.maySpill)
+    , startVersion(aStart.version)
+    , version(aStart.version)
+    , startOffset(aStart.offset)
   {
   }
 
   RequestEnd Run()
   {
-    while (this->assembly.Attempt().Number() < kMostAttempts) {
-      const auto engine = this->Choose();
-      if (!engine.ok()) {
-        this->RememberFailure(engine.status());
-        break;
+    this->context.retryBudget.AddRequest();
+    for (;;) {
+      const auto place = this->Place();
+      if (!place.has_value()) {
+        return this->GiveUp();
       }
-      switch (this->TryEngine(*engine)) {
+      switch (this->Try(*place)) {
         case AttemptEnd::kFinished:
           this->context.wholeAnswer.Record(this->context.clock.Now() - this->begunAt);
           return RequestEnd::kAnswered;
         case AttemptEnd::kCallerGone:
           return RequestEnd::kCallerGone;
+        case AttemptEnd::kDeadlinePassed:
+          return this->GiveUp();
         case AttemptEnd::kFailed:
-          this->excluded.insert(engine->target);
+          if (!this->WaitForRetry()) {
+            return this->GiveUp();
+          }
       }
     }
-    return this->GiveUp();
   }
 
 private:
-  absl::StatusOr<control::EngineView> Choose()
+  bool HasBegun() const { return this->assembly.Offset() != core::TokenOffset(); }
+
+  std::optional<Placement> Place()
   {
-    routing::EngineQuery query{ this->context.zone,
-                                this->request.deployment,
-                                this->request.adapter,
-                                this->request.prompt,
-                                this->excluded };
-    const auto view = this->context.board.Current();
-    const std::scoped_lock lock(this->context.randomMutex);
-    return routing::ChooseEngine(*view, query, this->context.inFlight, this->context.random);
+    // A resumed answer must go on in the version that it began in; one that has not begun may move.
+    if (!this->HasBegun()) {
+      this->version = this->startVersion;
+    }
+    const bool admitted = this->assembly.Attempt().Number() > 0;
+    PlacementQuery query{ this->request,  this->version,       this->deadline,   admitted,
+                          this->maySpill, this->failedEngines, this->failedPeers };
+    NoPlace noPlace;
+    auto place = FindPlace(this->context, query, noPlace);
+    if (!place.has_value() && !this->failedEngines.empty()) {
+      // Every other place is used up, so those that failed before are tried again.
+      query.failedEngines.clear();
+      place = FindPlace(this->context, query, noPlace);
+    }
+    if (!place.has_value()) {
+      this->retryAfter = noPlace.retryAfter;
+      this->RememberFailure(noPlace.cause, core::Outcome::kNotRun);
+    }
+    return place;
+  }
+
+  bool WaitForRetry()
+  {
+    const retries::FailedAttempt failed{
+      this->assembly.Attempt().Number(), this->outcome, true, false, this->deadline
+    };
+    std::optional<std::chrono::milliseconds> wait;
+    {
+      const std::scoped_lock lock(this->context.randomMutex);
+      wait = retries::DecideRetry(
+        failed, this->context.clock.Now(), this->context.retryBudget, this->context.random);
+    }
+    if (wait.has_value()) {
+      std::this_thread::sleep_for(*wait);
+    }
+    return wait.has_value();
+  }
+
+  std::chrono::milliseconds TimeLeft() const
+  {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->deadline - this->context.clock.Now());
+    return std::max(left, std::chrono::milliseconds(1));
+  }
+
+  AttemptEnd Try(const Placement& aPlace)
+  {
+    return aPlace.engine.has_value() ? this->TryEngine(*aPlace.engine)
+                                     : this->TryPeer(*aPlace.peer);
   }
 
   targets::GenerateRequest MakeAttempt(const control::EngineView& aEngine)
@@ -85,7 +147,6 @@
     attempt.request = this->requestId;
     attempt.attempt = this->assembly.NextAttempt();
     attempt.model = aEngine.report->model;
-    // A resumed answer must go on in the version that it began in.
     if (this->version.empty()) {
       this->version = aEngine.report->version;
     }
@@ -95,70 +156,152 @@
     attempt.maxTokens = this->request.maxTokens;
     attempt.offset = this->assembly.Offset();
     attempt.priority = this->request.priority;
-    attempt.timeout = std::min(this->request.deadline, kLongestEngineSilence);
+    attempt.timeout = std::min(this->TimeLeft(), kLongestEngineSilence);
     return attempt;
   }
 
-  AttemptEnd TryEngine(const control::EngineView& aEngine)
+  AttemptEnd TryEngine(const routing::RankedEngine& aRanked)
   {
-    this->context.inFlight.Add(aEngine.target);
-    const AttemptEnd end = this->RunAttempt(aEngine);
-    this->context.inFlight.Remove(aEngine.target);
-    if (end == AttemptEnd::kCallerGone) {
-      const absl::Status cancelled =
-        this->context.engines.Cancel(aEngine.address, this->requestId, this->assembly.Attempt());
-      core::Log(
-        core::LogLevel::kInfo,
-        "caller gone",
-        { { "request", this->requestId.Text() }, { "cancelled", cancelled.ok() ? "yes" : "no" } });
+    const control::EngineView& engine = aRanked.engine;
+    this->times = { this->context.clock.Now(), {}, 0 };
+    this->context.inFlight.Add(engine.target, this->times.begunAt);
+    this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
+    const AttemptEnd end =
+      this->RunAttempt(this->context.engines.Generate(engine.address, this->MakeAttempt(engine)));
+    this->context.inFlight.Remove(engine.target, this->context.clock.Now());
+    if (end == AttemptEnd::kFinished) {
+      this->TeachCapacity(aRanked);
+    } else if (end == AttemptEnd::kFailed) {
+      this->failedEngines.insert(engine.target);
+    } else {
+      this->CancelAt(engine);
     }
     return end;
   }
 
-  AttemptEnd RunAttempt(const control::EngineView& aEngine)
+  AttemptEnd TryPeer(const control::EntryView& aPeer)
+  {
+    SpilledCompletion spilled;
+    spilled.request = this->requestId;
+    spilled.attempt = this->assembly.NextAttempt();
+    spilled.completion = this->request;
+    spilled.completion.deadline = this->TimeLeft();
+    spilled.offset = this->assembly.Offset();
+    spilled.version = this->version = this->VersionForPeer();
+    this->times = { this->context.clock.Now(), {}, 0 };
+    const AttemptEnd end =
+      this->RunAttempt(OpenSpilledCompletion(*this->context.peers,
+                                             aPeer.peerAddress,
+                                             spilled,
+                                             std::min(this->TimeLeft(), kLongestEngineSilence)));
+    if (end == AttemptEnd::kFailed) {
+      this->failedPeers.insert(aPeer.instance);
+    }
+    return end;
+  }
+
+  // The peer's answer does not tell its version, so it is fixed beforehand.
+  std::string VersionForPeer() const
+  {
+    if (!this->version.empty()) {
+      return this->version;
+    }
+    const auto view = this->context.board.Current();
+    const auto& deployments = view->configuration->deployments;
+    const auto found = deployments.find(this->request.deployment);
+    return found == deployments.end() ? std::string() : found->second.version;
+  }
+
+  AttemptEnd RunAttempt(absl::StatusOr<std::unique_ptr<targets::TokenStream>> aStream)
   {
-    auto stream = this->context.engines.Generate(aEngine.address, this->MakeAttempt(aEngine));
-    if (!stream.ok()) {
-      this->RememberFailure(stream.status());
+    if (!aStream.ok()) {
+      this->RememberFailure(aStream.status());
       return AttemptEnd::kFailed;
     }
     for (;;) {
-      const auto chunk = (*stream)->Next();
+      const auto chunk = (*aStream)->Next();
+      if (this->context.clock.Now() >= this->deadline) {
+        const std::string limit = std::to_string(this->request.deadline.count()) + " ms";
+        this->RememberFailure(core::MakeError(errors::kDeadlinePassed, limit),
+                              core::Outcome::kUnknown);
+        return AttemptEnd::kDeadlinePassed;
+      }
       if (!chunk.ok()) {
         this->RememberFailure(chunk.status());
         return AttemptEnd::kFailed;
       }
-      switch (this->assembly.Judge(*chunk)) {
-        case ChunkVerdict::kDeliver:
-          if (!this->Deliver(*chunk)) {
-            return AttemptEnd::kCallerGone;
-          }
-          break;
-        case ChunkVerdict::kFinish:
-          return this->sink.Finish(chunk->finishReason, chunk->offset) ? AttemptEnd::kFinished
-                                                                       : AttemptEnd::kCallerGone;
-        case ChunkVerdict::kDrop:
-          break;
-        case ChunkVerdict::kBroken:
-          this->RememberFailure(core::MakeError(targets::errors::kBadAnswer, "a piece is missing"));
-          return AttemptEnd::kFailed;
+      if (const auto end = this->TakeChunk(*chunk); end.has_value()) {
+        return *end;
       }
     }
   }
 
+  // Gives the attempt's end, or nothing if it goes on.
+  std::optional<AttemptEnd> TakeChunk(const targets::TokenChunk& aChunk)
+  {
+    switch (this->assembly.Judge(aChunk)) {
+      case ChunkVerdict::kDeliver:
+        return this->Deliver(aChunk) ? std::nullopt : std::optional(AttemptEnd::kCallerGone);
+      case ChunkVerdict::kFinish:
+        return this->sink.Finish(aChunk.finishReason, aChunk.offset) ? AttemptEnd::kFinished
+                                                                     : AttemptEnd::kCallerGone;
+      case ChunkVerdict::kBroken:
+        this->RememberFailure(core::MakeError(targets::errors::kBadAnswer, "a piece is missing"));
+        return AttemptEnd::kFailed;
+      default:
+        return std::nullopt;
+    }
+  }
+
   bool Deliver(const targets::TokenChunk& aChunk)
   {
-    if (aChunk.offset == core::TokenOffset()) {
-      this->context.firstToken.Record(this->context.clock.Now() - this->begunAt);
+    const core::MonotonicTime now = this->context.clock.Now();
+    if (aChunk.offset == this->startOffset) {
+      this->context.firstToken.Record(now - this->begunAt);
+    } else {
+      this->context.betweenTokens.Record(now - this->lastTokenAt);
+    }
+    this->lastTokenAt = now;
+    if (this->times.tokens++ == 0) {
+      this->times.firstTokenAt = now;
     }
     return this->sink.Text(aChunk.offset, aChunk.text);
   }
 
+  void TeachCapacity(const routing::RankedEngine& aRanked)
+  {
+    if (this->times.tokens == 0) {
+      return;
+    }
+    routing::FinishedAttempt finished;
+    finished.firstToken = this->times.firstTokenAt - this->times.begunAt;
+    finished.decode = this->lastTokenAt - this->times.firstTokenAt;
+    finished.uncached = aRanked.uncached;
+    finished.startedAtOnce = aRanked.wait == routing::Seconds(0.0);
+    finished.tokens = core::TokenCount(this->times.tokens);
+    finished.maxTokens = this->request.maxTokens;
+    this->context.knowledge.capacity.AddAttempt(aRanked.engine.target, finished);
+  }
+
+  // An answer that nobody waits for would hold a slot of the engine.
+  void CancelAt(const control::EngineView& aEngine)
+  {
+    const absl::Status cancelled =
+      this->context.engines.Cancel(aEngine.address, this->requestId, this->assembly.Attempt());
+    core::Log(
+      core::LogLevel::kInfo,
+      "attempt cancelled",
+      { { "request", this->requestId.Text() }, { "taken", cancelled.ok() ? "yes" : "no" } });
+  }
+
   void RememberFailure(const absl::Status& aStatus)
   {
-    const bool fromRouting = core::IsError(aStatus, routing::errors::kNoTarget) ||
-                             core::IsError(aStatus, routing::errors::kUnknownName);
-    if (!fromRouting && targets::OutcomeOfFailure(aStatus) != core::Outcome::kNotRun) {
+    this->RememberFailure(aStatus, targets::OutcomeOfFailure(aStatus));
+  }
+
+  void RememberFailure(const absl::Status& aStatus, core::Outcome aOutcome)
+  {
+    if (aOutcome != core::Outcome::kNotRun) {
       this->outcome = core::Outcome::kUnknown;
     }
     core::Log(core::LogLevel::kWarning,
@@ -169,17 +312,22 @@
     this->failure = aStatus;
   }
 
+  // A refusal before the first attempt, and a deadline, are told as they are.
+  absl::Status Cause() const
+  {
+    const bool neverTried = this->assembly.Attempt().Number() == 0;
+    if (neverTried || core::IsError(this->failure, errors::kDeadlinePassed)) {
+      return this->failure;
+    }
+    return core::MakeError(errors::kTargetsFailed, this->failure.message());
+  }
+
   RequestEnd GiveUp()
   {
-    const bool started = this->outcome != core::Outcome::kNotRun;
-    const absl::Status cause =
-      started || !core::IsError(this->failure, routing::errors::kUnknownName)
-        ? core::MakeError(errors::kTargetsFailed, this->failure.message())
-        : this->failure;
-    if (!this->sink.Fail({ cause, this->outcome, this->requestId })) {
+    if (!this->sink.Fail({ this->Cause(), this->outcome, this->requestId, this->retryAfter })) {
       return RequestEnd::kCallerGone;
     }
-    return started ? RequestEnd::kFailed : RequestEnd::kRefused;
+    return this->outcome == core::Outcome::kNotRun ? RequestEnd::kRefused : RequestEnd::kFailed;
   }
 
   RequestContext& context;
@@ -188,10 +336,18 @@
   AnswerSink& sink;
   AnswerAssembly assembly;
   core::MonotonicTime begunAt;
+  core::MonotonicTime lastTokenAt;
+  core::MonotonicTime deadline;
+  bool maySpill;
+  std::string startVersion;
   std::string version;
-  std::set<core::TargetId> excluded;
+  core::TokenOffset startOffset;
+  AttemptTimes times;
+  std::set<core::TargetId> failedEngines;
+  std::set<core::InstanceId> failedPeers;
   core::Outcome outcome = core::Outcome::kNotRun;
   absl::Status failure;
+  std::chrono::seconds retryAfter{ 1 };
 };
 
 absl::StatusOr<CompletionRequest>
@@ -208,6 +364,15 @@
 
 } // namespace
 
+RequestEnd
+RunCompletion(RequestContext& aContext,
+              const CompletionRequest& aRequest,
+              const CompletionStart& aStart,
+              AnswerSink& aSink)
+{
+  return CompletionRun(aContext, aRequest, aStart, aSink).Run();
+}
+
 RequestEnd
 HandleCompletion(RequestContext& aContext,
                  net::HttpExchange& aExchange,
@@ -221,7 +386,7 @@
   const std::string model = request->deployment.Text();
   const auto sink = request->stream ? MakeEventSink(aExchange, aRequest, model)
                                     : MakeJsonSink(aExchange, aRequest, model);
-  return CompletionRun(aContext, *request, aRequest, *sink).Run();
+  return RunCompletion(aContext, *request, { aRequest, {}, {}, true }, *sink);
 }
 
 } // namespace plantainslip::requests
--- a/src/requests/dispatcher.cpp
+++ b/src/requests/dispatcher.cpp
@@ -47,6 +47,7 @@
 {
   const std::string text = aContext.ledger.Format() +
                            aContext.firstToken.Format("plantainslip_first_token_seconds") +
+                           aContext.betweenTokens.Format("plantainslip_between_tokens_seconds") +
                            aContext.wholeAnswer.Format("plantainslip_whole_answer_seconds");
   aExchange.Respond(kOk, "text/plain; version=0.0.4", text);
 }
--- a/src/requests/problem.cpp
+++ b/src/requests/problem.cpp
@@ -6,12 +6,6 @@
 
 namespace plantainslip::requests {
 
-namespace {
-
-constexpr int kRetryAfterSeconds = 1;
-
-} // namespace
-
 int
 HttpStatusOf(const Problem& aProblem)
 {
@@ -60,7 +54,7 @@
   const int status = HttpStatusOf(aProblem);
   std::vector<net::Header> headers;
   if (status == 503 || status == 429) {
-    headers.push_back({ "Retry-After", std::to_string(kRetryAfterSeconds) });
+    headers.push_back({ "Retry-After", std::to_string(aProblem.retryAfter.count()) });
   }
   return aExchange.Respond(status, "application/problem+json", FormatProblem(aProblem), headers);
 }
--- /dev/null
+++ b/src/routing/rank_engines.cpp
@@ -0,0 +1,196 @@
+#include <algorithm>
+#include <map>
+
+#include <plantainslip/routing/choose_target.hpp>
+#include <plantainslip/routing/errors.hpp>
+#include <plantainslip/routing/prompt_pieces.hpp>
+#include <plantainslip/routing/rendezvous.hpp>
+
+namespace plantainslip::routing {
+
+namespace {
+
+using control::EngineView;
+
+bool
+HasAdapter(const targets::EngineReport& aReport, const std::string& aAdapter)
+{
+  return aAdapter.empty() ||
+         std::find(aReport.adapters.begin(), aReport.adapters.end(), aAdapter) !=
+           aReport.adapters.end();
+}
+
+bool
+CanServe(const EngineView& aEngine,
+         const EngineQuery& aQuery,
+         const config::Deployment& aDeployment)
+{
+  if (aEngine.zone != aQuery.zone || aEngine.deployment != aQuery.deployment || aEngine.leaving) {
+    return false;
+  }
+  if (!aEngine.report.has_value() || aEngine.report->changing) {
+    return false;
+  }
+  const bool rightVersion = aQuery.version.empty() || aEngine.report->version == aQuery.version;
+  const bool rightModel = aEngine.report->model == aDeployment.model;
+  return rightModel && rightVersion && HasAdapter(*aEngine.report, aQuery.adapter) &&
+         !aQuery.excluded.contains(aEngine.target);
+}
+
+// A report shows the load of some time ago, and other requests were sent and have ended since.
+double
+EstimateOutstanding(const EngineView& aEngine, const RoutingInputs& aInputs)
+{
+  const core::MonotonicTime seen = aEngine.reportedAt - aInputs.options.reportLag;
+  const auto reported = static_cast<double>(aEngine.report->running + aEngine.report->queued);
+  const auto change = static_cast<double>(aInputs.inFlight.ChangeSince(aEngine.target, seen));
+  const auto own = static_cast<double>(aInputs.inFlight.Count(aEngine.target));
+  return std::max(reported + change, own);
+}
+
+// A prefill engine is slow at decoding and a decode engine at prefill.
+Seconds
+RoleCost(const RankedEngine& aRanked, const EngineQuery& aQuery, Seconds aPrefill, double aMismatch)
+{
+  const Seconds decode =
+    aRanked.capacity.tokenInterval *
+    (static_cast<double>(aQuery.maxTokens.Number()) * aRanked.capacity.lengthShare);
+  switch (aRanked.engine.report->role) {
+    case targets::EngineRole::kPrefill:
+      return decode * aMismatch;
+    case targets::EngineRole::kDecode:
+      return aPrefill * aMismatch;
+    default:
+      return Seconds(0.0);
+  }
+}
+
+// Pieces depend on the version, and few versions are loaded at once.
+class PieceCache
+{
+public:
+  explicit PieceCache(const EngineQuery& aQuery)
+    : query(aQuery)
+  {
+  }
+
+  const std::vector<std::uint64_t>& Of(const targets::EngineReport& aReport)
+  {
+    const auto [found, added] = this->byVersion.try_emplace(aReport.version);
+    if (added) {
+      found->second =
+        HashPieces({ aReport.model, aReport.version, this->query.adapter }, this->query.prompt);
+    }
+    return found->second;
+  }
+
+private:
+  const EngineQuery& query;
+  std::map<std::string, std::vector<std::uint64_t>> byVersion;
+};
+
+RankedEngine
+Estimate(const EngineView& aEngine,
+         const EngineQuery& aQuery,
+         const RoutingInputs& aInputs,
+         const std::vector<std::uint64_t>& aPieces)
+{
+  RankedEngine ranked;
+  ranked.engine = aEngine;
+  ranked.pieces = aPieces;
+  ranked.capacity = aInputs.capacity.Of(aEngine.target);
+  ranked.outstanding = EstimateOutstanding(aEngine, aInputs);
+  const double slots = ranked.capacity.slots;
+  const double ahead = std::max(0.0, ranked.outstanding + 1.0 - slots);
+  ranked.wait = ranked.capacity.attempt * (ahead / slots);
+  const std::uint64_t held =
+    aInputs.prefixes.CountHeld(aEngine.target, aPieces, aInputs.now) * kPieceTokens;
+  const std::uint64_t tokens = EstimateTokens(aQuery.prompt).Number();
+  ranked.uncached = core::TokenCount(tokens - std::min(tokens, held));
+  const Seconds prefill(static_cast<double>(ranked.uncached.Number()) /
+                        ranked.capacity.prefillTokensPerSecond);
+  // Prefill and decoding share the engine, so a fuller engine does both more slowly.
+  const double share = std::min(1.0, ranked.outstanding / slots);
+  ranked.cost = ranked.wait + prefill + (prefill + ranked.capacity.tokenInterval) * share +
+                RoleCost(ranked, aQuery, prefill, aInputs.options.roleMismatch);
+  return ranked;
+}
+
+void
+PreferHome(std::vector<RankedEngine>& aEngines, double aPreference)
+{
+  const auto home =
+    std::max_element(aEngines.begin(), aEngines.end(), [](const auto& aLeft, const auto& aRight) {
+      return RendezvousWeight(aLeft.engine.target, aLeft.pieces.front()) <
+             RendezvousWeight(aRight.engine.target, aRight.pieces.front());
+    });
+  const Seconds prefill(static_cast<double>(home->uncached.Number()) /
+                        home->capacity.prefillTokensPerSecond);
+  home->cost -= prefill * aPreference;
+  std::iter_swap(aEngines.begin(), home);
+}
+
+void
+Shuffle(std::vector<RankedEngine>& aEngines, core::RandomSource& aRandom)
+{
+  for (std::size_t left = aEngines.size(); left > 1; --left) {
+    std::swap(aEngines[left - 1], aEngines[aRandom.Below(left)]);
+  }
+}
+
+bool
+IsCheaper(const RankedEngine& aLeft, const RankedEngine& aRight)
+{
+  return aLeft.cost < aRight.cost;
+}
+
+// The home, the holders of a piece and a sample come first, each part ranked by cost.
+void
+Rank(std::vector<RankedEngine>& aEngines, const EngineQuery& aQuery, const RoutingOptions& aOptions)
+{
+  const std::uint64_t tokens = EstimateTokens(aQuery.prompt).Number();
+  const bool hasHome = !aEngines.front().pieces.empty();
+  if (hasHome) {
+    PreferHome(aEngines, aOptions.homePreference);
+  }
+  const auto afterHome = aEngines.begin() + (hasHome ? 1 : 0);
+  const auto rest = std::partition(afterHome, aEngines.end(), [&](const RankedEngine& aEngine) {
+    return aEngine.uncached.Number() < tokens;
+  });
+  const auto sampled = std::min<std::ptrdiff_t>(
+    static_cast<std::ptrdiff_t>(aOptions.sampledEngines), std::distance(rest, aEngines.end()));
+  std::stable_sort(aEngines.begin(), rest + sampled, IsCheaper);
+  std::stable_sort(rest + sampled, aEngines.end(), IsCheaper);
+}
+
+} // namespace
+
+absl::StatusOr<std::vector<RankedEngine>>
+RankEngines(const control::FleetView& aView,
+            const EngineQuery& aQuery,
+            const RoutingInputs& aInputs,
+            core::RandomSource& aRandom)
+{
+  if (aView.configuration == nullptr) {
+    return core::MakeError(errors::kNoTarget, "no configuration is in force yet");
+  }
+  const auto deployment = aView.configuration->deployments.find(aQuery.deployment);
+  if (deployment == aView.configuration->deployments.end()) {
+    return core::MakeError(errors::kUnknownName, aQuery.deployment.Text());
+  }
+  PieceCache pieces(aQuery);
+  std::vector<RankedEngine> engines;
+  for (const EngineView& engine : aView.engines) {
+    if (CanServe(engine, aQuery, deployment->second)) {
+      engines.push_back(Estimate(engine, aQuery, aInputs, pieces.Of(*engine.report)));
+    }
+  }
+  if (engines.empty()) {
+    return core::MakeError(errors::kNoTarget, aQuery.deployment.Text());
+  }
+  Shuffle(engines, aRandom);
+  Rank(engines, aQuery, aInputs.options);
+  return engines;
+}
+
+} // namespace plantainslip::routing
