--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -121,8 +121,8 @@
   }
   control::ControlLoopOptions controlOptions;
   controlOptions.zone = context.zone;
-  const auto loop =
-    control::ControlLoop::Start(controlOptions, { *store, *list, *engines, clock }, board);
+  const auto loop = control::ControlLoop::Start(
+    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -2,6 +2,7 @@
 
 #include <mutex>
 
+#include <plantainslip/admission/admission.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
@@ -12,6 +13,8 @@
 #include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/requests/drain_gate.hpp>
+#include <plantainslip/retries/retry_policy.hpp>
+#include <plantainslip/routing/engine_knowledge.hpp>
 #include <plantainslip/routing/in_flight.hpp>
 #include <plantainslip/targets/engine.hpp>
 #include <plantainslip/targets/plain_service.hpp>
@@ -41,6 +44,14 @@
 
   std::mutex randomMutex;
   core::RandomSource random;
+
+  observe::LatencyHistogram betweenTokens{};
+  routing::EngineKnowledge knowledge{};
+  routing::RoutingOptions routing{};
+  admission::AdmissionOptions admission{};
+  retries::RetryBudget retryBudget{};
+  /// @brief Way to instances of other zones; null if requests are never spilled over.
+  peers::PeerClient* peers = nullptr;
 };
 
 } // namespace plantainslip::requests
