--- /dev/null
+++ b/apps/controller/controller_process.cpp
@@ -0,0 +1,86 @@
+#include "controller_process.hpp"
+
+#include <plantainslip/core/log.hpp>
+#include <plantainslip/platform/http_platform.hpp>
+
+#include "../common/address_check.hpp"
+#include "../common/stop_signal.hpp"
+
+namespace plantainslip::apps {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPlatformTimeout = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds kLeaseMargin{ 500 };
+constexpr int kLeasePartsPerMargin = 10;
+constexpr std::size_t kThreads = 32;
+
+authority::ControllerOptions
+ToOptions(const ControllerSettings& aSettings)
+{
+  authority::ControllerOptions options;
+  options.lease.zone = core::ZoneId(aSettings.zone);
+  options.lease.holder = core::InstanceId(aSettings.instance);
+  options.lease.duration = std::chrono::milliseconds(aSettings.leaseMs);
+  options.lease.margin = std::min(kLeaseMargin, options.lease.duration / kLeasePartsPerMargin);
+  options.takeOverWait = std::chrono::milliseconds(aSettings.takeOverMs);
+  options.loadsAtOnce = static_cast<std::size_t>(aSettings.loadsAtOnce);
+  options.threads = kThreads;
+  return options;
+}
+
+} // namespace
+
+void
+AddControllerFlags(CommandLine& aLine, ControllerSettings& aSettings)
+{
+  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")->required();
+  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")->required();
+  aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
+    ->required()
+    ->check(&CheckAddress);
+  aLine.Add("peer-key",
+            aSettings.peerKey,
+            "Key that peers prove themselves with; the entry instances' own",
+            "Security");
+  aLine.Add("interval-ms", aSettings.intervalMs, "Time between two steps; milliseconds", "Control")
+    ->check(CLI::Range(10, 60'000));
+  aLine.Add("lease-ms", aSettings.leaseMs, "Duration of the zone's lease; milliseconds", "Control")
+    ->check(CLI::Range(1'000, 600'000));
+  aLine
+    .Add("take-over-ms",
+         aSettings.takeOverMs,
+         "Time from a term's beginning to the first order to an engine that ignores fencing "
+         "tokens; milliseconds, more than the 2 s for which an order may be under way",
+         "Control")
+    ->check(CLI::Range(2'100, 600'000));
+  aLine
+    .Add("loads-at-once",
+         aSettings.loadsAtOnce,
+         "Most engines of the zone that load from the weight store at once",
+         "Control")
+    ->check(CLI::Range(1, 1'000));
+}
+
+int
+RunController(const ControllerSettings& aSettings,
+              targets::EngineClient& aEngines,
+              const core::Clock& aClock,
+              authority::TermTimer& aTimer)
+{
+  const net::Address platformAddress = *net::Address::Parse(aSettings.platform);
+  const auto store = platform::MakeHttpStore(platformAddress, kPlatformTimeout);
+  const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
+  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey);
+  authority::Controller controller({ *store, *list, aEngines, *peerClient, aClock, aTimer },
+                                   ToOptions(aSettings));
+  core::Log(core::LogLevel::kInfo, "started");
+  do {
+    controller.Step();
+  } while (!WaitForStopSignal(aSettings.intervalMs));
+  controller.Stop();
+  core::Log(core::LogLevel::kInfo, "stopped");
+  return kExitDone;
+}
+
+} // namespace plantainslip::apps
--- a/apps/controller/main.cpp
+++ b/apps/controller/main.cpp
@@ -1,79 +1,39 @@
-// Controller: the flags, the wiring and the loop. No decisions.
+// Controller: the wiring. No decisions.
+
+#include <iostream>
 
-#include <plantainslip/authority/controller.hpp>
 #include <plantainslip/core/log.hpp>
-#include <plantainslip/platform/http_platform.hpp>
 
-#include "../common/address_check.hpp"
-#include "../common/command_line.hpp"
 #include "../common/stop_signal.hpp"
+#include "controller_process.hpp"
 
 namespace {
 
 using namespace plantainslip; // NOLINT(google-build-using-namespace)
 
-constexpr std::chrono::milliseconds kPlatformTimeout = std::chrono::seconds(2);
-constexpr std::chrono::milliseconds kEngineTimeout = std::chrono::seconds(2);
-
-struct Settings
-{
-  std::string instance;
-  std::string zone;
-  std::string platform;
-  int intervalMs = 500;
-  int leaseMs = 5000;
-};
-
-void
-AddFlags(apps::CommandLine& aLine, Settings& aSettings)
-{
-  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")->required();
-  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")->required();
-  aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
-    ->required()
-    ->check(&apps::CheckAddress);
-  aLine.Add("interval-ms", aSettings.intervalMs, "Time between two steps; milliseconds", "Control")
-    ->check(CLI::Range(10, 60'000));
-  aLine.Add("lease-ms", aSettings.leaseMs, "Duration of the zone's lease; milliseconds", "Control")
-    ->check(CLI::Range(1'000, 600'000));
-}
-
-int
-Run(const Settings& aSettings)
-{
-  const net::Address platformAddress = *net::Address::Parse(aSettings.platform);
-  const core::SystemClock clock;
-  const auto store = platform::MakeHttpStore(platformAddress, kPlatformTimeout);
-  const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
-  const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
-  authority::ZoneLeaseOptions lease;
-  lease.zone = core::ZoneId(aSettings.zone);
-  lease.holder = core::InstanceId(aSettings.instance);
-  lease.duration = std::chrono::milliseconds(aSettings.leaseMs);
-  authority::Controller controller({ *store, *list, *engines, clock }, lease);
-  core::Log(core::LogLevel::kInfo, "started");
-  do {
-    controller.Step();
-  } while (!apps::WaitForStopSignal(aSettings.intervalMs));
-  controller.Stop();
-  core::Log(core::LogLevel::kInfo, "stopped");
-  return apps::kExitDone;
-}
+constexpr std::chrono::milliseconds kEngineTimeout = std::chrono::seconds(1);
 
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
-  Settings settings;
+  apps::ControllerSettings settings;
   apps::CommandLine line("plantainslip-controller",
                          "Orders the engines of one availability zone while it holds the lease.");
-  AddFlags(line, settings);
+  apps::AddControllerFlags(line, settings);
   if (const auto exitCode = line.Parse(aCount, aArguments); exitCode.has_value()) {
     return *exitCode;
   }
   apps::BlockStopSignals();
   core::InitializeLog({ "plantainslip-controller", settings.instance, settings.zone },
                       line.LogLevel());
-  return Run(settings);
+  const core::SystemClock clock;
+  const auto timer = authority::TermTimer::Create(clock);
+  if (!timer.ok()) {
+    std::cerr << timer.status().message() << "\n";
+    return apps::kExitFailed;
+  }
+  const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
+  return apps::RunController(settings, *engines, clock, **timer);
 }
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,8 +2,10 @@
 
 #include <iostream>
 
+#include <plantainslip/authority/drain_messages.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
+#include <plantainslip/control/drain_mark_learner.hpp>
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/http_server.hpp>
 #include <plantainslip/peers/peer_client.hpp>
@@ -84,6 +86,19 @@
   return peers::PeerServer::Create(options, std::move(aHandlers));
 }
 
+peers::PeerHandlers
+MakePeerHandlers(requests::RequestContext& aContext)
+{
+  peers::PeerHandlers handlers;
+  handlers.calls[authority::kDrainMarkKind] = [&aContext](const std::string& aBody) {
+    return authority::AnswerDrainMark(aContext.drainMarks, aBody);
+  };
+  handlers.calls[authority::kDrainMarksKind] = [&aContext](const std::string&) {
+    return authority::AnswerDrainMarks(aContext.drainMarks);
+  };
+  return handlers;
+}
+
 int
 Serve(const Settings& aSettings)
 {
@@ -104,7 +119,6 @@
                                     .engines = *engines,
                                     .services = *services,
                                     .claims = *claimBook,
-                                    .peers = *peerClient,
                                     .board = board,
                                     .gate = {},
                                     .ledger = {},
@@ -112,8 +126,9 @@
                                     .wholeAnswer = {},
                                     .inFlight = {},
                                     .randomMutex = {},
-                                    .random = core::RandomSource(core::MakeSeed()) };
-  peers::PeerHandlers peerHandlers;
+                                    .random = core::RandomSource(core::MakeSeed()),
+                                    .peers = peerClient.get() };
+  peers::PeerHandlers peerHandlers = MakePeerHandlers(context);
   const auto peerServer = ServePeers(aSettings, std::move(peerHandlers));
   if (!peerServer.ok()) {
     std::cerr << peerServer.status().message() << "\n";
@@ -123,6 +138,8 @@
   controlOptions.zone = context.zone;
   const auto loop = control::ControlLoop::Start(
     controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
+  const auto learner = control::DrainMarkLearner::Start(
+    { *store, *peerClient, board, context.drainMarks }, context.instance, context.zone);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
--- a/include/plantainslip/authority/errors.hpp
+++ b/include/plantainslip/authority/errors.hpp
@@ -17,5 +17,19 @@
 inline constexpr core::ErrorDescription kBadJournal{ 803,
                                                      "authority.bad_journal",
                                                      absl::StatusCode::kDataLoss };
+/// @brief A drain message cannot be read. Example: truncated CBOR.
+inline constexpr core::ErrorDescription kBadMessage{ 804,
+                                                     "authority.bad_message",
+                                                     absl::StatusCode::kInvalidArgument };
+/// @brief An entry instance does not know yet which targets are draining. Example: it has just
+///        started and the store is down.
+inline constexpr core::ErrorDescription kMarksUnknown{ 805,
+                                                       "authority.marks_unknown",
+                                                       absl::StatusCode::kUnavailable };
+/// @brief The timer that ends the process with its lease cannot be made. Example: the machine's
+///        limit of pending signals is reached.
+inline constexpr core::ErrorDescription kNoTermTimer{ 806,
+                                                      "authority.no_term_timer",
+                                                      absl::StatusCode::kResourceExhausted };
 
 } // namespace plantainslip::authority::errors
--- a/include/plantainslip/authority/order_journal.hpp
+++ b/include/plantainslip/authority/order_journal.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <map>
 #include <string>
+#include <vector>
 
 #include <absl/status/statusor.h>
 
+#include <plantainslip/authority/drain_marks.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/targets/engine.hpp>
@@ -13,9 +16,11 @@
 /// @brief How far an order has come.
 enum class OrderPhase
 {
+  /// @brief Entry instances are told to send no new work; the order was never sent.
+  kDraining,
   /// @brief Journaled; it may or may not have been sent.
   kOpen,
-  /// @brief The engine has done it, or can no longer do it.
+  /// @brief The engine has done it or can no longer do it, or it was never sent.
   kSettled,
 };
 
@@ -30,7 +35,9 @@
 };
 
 /// @brief Journal of one zone's orders: at most one open order for each engine.
-/// @note Not safe to share between threads; calls block on the platform's store.
+/// @note Not safe to share between threads; calls block on the platform's store. The journal is
+/// read
+///       once in a term and after a write that failed; compare-and-swap guards what is remembered.
 class OrderJournal
 {
 public:
@@ -39,20 +46,39 @@
   /// @param aZone  zone whose engines get the orders
   OrderJournal(platform::Store& aStore, core::ZoneId aZone);
 
-  /// @brief Reads the newest entry of an engine.
-  /// @return the entry, empty if there is none; or error 802 (authority.not_journaled) or 803
-  absl::StatusOr<JournalEntry> Read(const core::TargetId& aTarget);
+  /// @brief Reads all entries of the zone, unless they are remembered. One store call.
+  /// @return OK, or error 802 (authority.not_journaled) or 803 (authority.bad_journal)
+  absl::Status Load();
+
+  /// @brief Forgets what was read, as at the beginning of a term.
+  void Forget();
+
+  /// @brief Gives the newest entry of an engine; an empty settled one if there is none.
+  JournalEntry Entry(const core::TargetId& aTarget) const;
+
+  /// @brief Gives the newest entries of all engines.
+  std::vector<JournalEntry> Entries() const;
 
   /// @brief Writes an entry over the one that was read.
   /// @return the entry with its new revision, or error 802 (authority.not_journaled) if the store
   ///         is down, the outcome is unknown or another controller wrote first
   absl::StatusOr<JournalEntry> Write(JournalEntry aEntry);
 
+  /// @brief Gives the mark that entry instances have to go by for each engine.
+  std::vector<DrainMark> Marks() const;
+
 private:
-  std::string KeyOf(const core::TargetId& aTarget) const;
+  std::string Prefix() const;
 
   platform::Store& store;
   core::ZoneId zone;
+  bool loaded = false;
+  std::map<core::TargetId, JournalEntry> entries;
 };
 
+/// @brief Reads the marks of a zone from the store, as an entry instance does that starts.
+/// @return the marks, or error 802 (authority.not_journaled) or 803 (authority.bad_journal)
+absl::StatusOr<std::vector<DrainMark>>
+ReadDrainMarks(platform::Store& aStore, const core::ZoneId& aZone);
+
 } // namespace plantainslip::authority
--- a/include/plantainslip/authority/zone_lease.hpp
+++ b/include/plantainslip/authority/zone_lease.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include <plantainslip/authority/term_timer.hpp>
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/platform/store.hpp>
@@ -16,7 +17,8 @@
   core::ZoneId zone;
   core::InstanceId holder;
   std::chrono::milliseconds duration = std::chrono::seconds(5);
-  /// @brief Part of the duration that is left unused, for clocks that run at different rates.
+  /// @brief Part of the duration that is left unused, for clocks that run at different rates. The
+  ///        process ends one margin before the lease does, and stands down one margin earlier.
   std::chrono::milliseconds margin = std::chrono::milliseconds(500);
 };
 
@@ -28,9 +30,14 @@
   /// @brief Connects the lease to the store; nothing is held yet.
   /// @param aStore  has to outlive the lease
   /// @param aClock  has to outlive the lease
-  ZoneLease(platform::Store& aStore, const core::Clock& aClock, ZoneLeaseOptions aOptions);
-
-  /// @brief Takes the lease if it is free, prolongs it if it is held.
+  /// @param aTimer  ends the process with the lease; has to outlive it
+  ZoneLease(platform::Store& aStore,
+            const core::Clock& aClock,
+            TermTimer& aTimer,
+            ZoneLeaseOptions aOptions);
+
+  /// @brief Takes the lease if it is free, prolongs it if a third of it is used up. Makes at most
+  ///        one call of the store, and none before one is due.
   void Keep();
 
   /// @brief Gives the fencing token while the lease certainly holds; nothing otherwise.
@@ -42,12 +49,15 @@
 private:
   std::string Name() const;
   void Adopt(const absl::StatusOr<platform::LeaseGrant>& aGrant, core::MonotonicTime aSentAt);
+  void StandDown();
 
   platform::Store& store;
   const core::Clock& clock;
+  TermTimer& timer;
   ZoneLeaseOptions options;
   std::optional<core::FencingToken> token;
   core::MonotonicTime endsAt;
+  core::MonotonicTime nextCallAt;
 };
 
 } // namespace plantainslip::authority
--- a/include/plantainslip/net/http_client.hpp
+++ b/include/plantainslip/net/http_client.hpp
@@ -24,6 +24,10 @@
   std::string body;
   /// @brief Longest wait for the answer, and between pieces of a streamed answer.
   std::chrono::milliseconds timeout = std::chrono::seconds(5);
+  /// @brief Longest time that the kernel tries to deliver bytes that are not acknowledged; zero is
+  ///        the system's own. Bytes not yet sent are dropped when the connection is closed. For
+  ///        streamed answers only.
+  std::chrono::milliseconds unacknowledgedTimeout{ 0 };
 };
 
 /// @brief A whole HTTP answer.
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -3,6 +3,7 @@
 #include <mutex>
 
 #include <plantainslip/admission/admission.hpp>
+#include <plantainslip/authority/drain_marks.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
@@ -33,7 +34,6 @@
   targets::EngineClient& engines;
   targets::ServiceClient& services;
   claims::ClaimBook& claims;
-  peers::PeerClient& peers;
   control::ViewBoard& board;
 
   DrainGate gate;
@@ -52,6 +52,8 @@
   retries::RetryBudget retryBudget{};
   /// @brief Way to instances of other zones; null if requests are never spilled over.
   peers::PeerClient* peers = nullptr;
+  /// @brief Which targets get no new work, since they are about to be changed.
+  authority::DrainMarks drainMarks{ inFlight };
 };
 
 } // namespace plantainslip::requests
--- a/include/plantainslip/targets/engine.hpp
+++ b/include/plantainslip/targets/engine.hpp
@@ -116,6 +116,9 @@
   EngineRole role = EngineRole::kMixed;
 };
 
+/// @brief Longest time that the bytes of an order may be under way once their sender is gone.
+inline constexpr std::chrono::milliseconds kLongestOrderDelivery = std::chrono::seconds(2);
+
 /// @brief Change of an engine's cache. Events come late and with gaps.
 struct CacheEvent
 {
--- /dev/null
+++ b/src/authority/drain_marks.cpp
@@ -0,0 +1,88 @@
+#include <plantainslip/authority/drain_marks.hpp>
+
+namespace plantainslip::authority {
+
+DrainMarks::DrainMarks(const routing::InFlight& aInFlight)
+  : inFlight(aInFlight)
+{
+}
+
+void
+DrainMarks::Adopt(const DrainMark& aMark)
+{
+  DrainMark& present = this->marks[aMark.target];
+  if (aMark.revision > present.revision) {
+    present = aMark;
+  }
+}
+
+void
+DrainMarks::Learn(const std::vector<DrainMark>& aMarks)
+{
+  const std::scoped_lock lock(this->mutex);
+  for (const DrainMark& mark : aMarks) {
+    this->Adopt(mark);
+  }
+  this->learned = true;
+}
+
+bool
+DrainMarks::Learned() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->learned;
+}
+
+std::vector<DrainReply>
+DrainMarks::Apply(const std::vector<DrainMark>& aMarks)
+{
+  std::vector<DrainReply> replies;
+  const std::scoped_lock lock(this->mutex);
+  for (const DrainMark& mark : aMarks) {
+    this->Adopt(mark);
+  }
+  for (const DrainMark& mark : aMarks) {
+    DrainReply reply;
+    reply.mark = this->marks.at(mark.target);
+    reply.mark.target = mark.target;
+    reply.inFlight = this->inFlight.Count(mark.target);
+    replies.push_back(std::move(reply));
+  }
+  return replies;
+}
+
+bool
+DrainMarks::MayBegin(const core::TargetId& aTarget) const
+{
+  // The attempt was counted before this look at the mark, so a reply either counts it or stops it.
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->marks.find(aTarget);
+  const bool draining = found != this->marks.end() && found->second.draining;
+  return this->learned && !draining;
+}
+
+std::set<core::TargetId>
+DrainMarks::Draining() const
+{
+  const std::scoped_lock lock(this->mutex);
+  std::set<core::TargetId> draining;
+  for (const auto& [target, mark] : this->marks) {
+    if (mark.draining) {
+      draining.insert(target);
+    }
+  }
+  return draining;
+}
+
+std::vector<DrainMark>
+DrainMarks::All() const
+{
+  const std::scoped_lock lock(this->mutex);
+  std::vector<DrainMark> all;
+  for (const auto& [target, mark] : this->marks) {
+    all.push_back(mark);
+  }
+  return all;
+}
+
+} // namespace plantainslip::authority
--- /dev/null
+++ b/src/authority/drain_messages.cpp
@@ -0,0 +1,112 @@
+#include <plantainslip/authority/drain_messages.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <plantainslip/authority/errors.hpp>
+
+namespace plantainslip::authority {
+
+namespace {
+
+using nlohmann::json;
+
+json
+ToJson(const DrainMark& aMark)
+{
+  return { { "target", aMark.target.Text() },
+           { "revision", aMark.revision.Number() },
+           { "draining", aMark.draining } };
+}
+
+DrainMark
+MarkFrom(const json& aLine)
+{
+  return { core::TargetId(aLine.at("target").get<std::string>()),
+           core::Revision(aLine.at("revision").get<std::uint64_t>()),
+           aLine.at("draining").get<bool>() };
+}
+
+DrainReply
+ReplyFrom(const json& aLine)
+{
+  return { MarkFrom(aLine), aLine.at("in_flight").get<std::uint64_t>() };
+}
+
+std::string
+ToCbor(const json& aMessage)
+{
+  const std::vector<std::uint8_t> bytes = json::to_cbor(aMessage);
+  return { bytes.begin(), bytes.end() };
+}
+
+template<typename Item>
+absl::StatusOr<std::vector<Item>>
+ParseList(const std::string& aBody, Item (*aParse)(const json&))
+{
+  try {
+    std::vector<Item> items;
+    for (const json& line : json::from_cbor(aBody)) {
+      items.push_back(aParse(line));
+    }
+    return items;
+  } catch (const json::exception& problem) {
+    return core::MakeError(errors::kBadMessage, problem.what());
+  }
+}
+
+} // namespace
+
+std::string
+FormatDrainMarks(const std::vector<DrainMark>& aMarks)
+{
+  json message = json::array();
+  for (const DrainMark& mark : aMarks) {
+    message.push_back(ToJson(mark));
+  }
+  return ToCbor(message);
+}
+
+absl::StatusOr<std::vector<DrainMark>>
+ParseDrainMarks(const std::string& aBody)
+{
+  return ParseList<DrainMark>(aBody, &MarkFrom);
+}
+
+std::string
+FormatDrainReplies(const std::vector<DrainReply>& aReplies)
+{
+  json message = json::array();
+  for (const DrainReply& reply : aReplies) {
+    json line = ToJson(reply.mark);
+    line["in_flight"] = reply.inFlight;
+    message.push_back(std::move(line));
+  }
+  return ToCbor(message);
+}
+
+absl::StatusOr<std::vector<DrainReply>>
+ParseDrainReplies(const std::string& aBody)
+{
+  return ParseList<DrainReply>(aBody, &ReplyFrom);
+}
+
+absl::StatusOr<std::string>
+AnswerDrainMark(DrainMarks& aMarks, const std::string& aBody)
+{
+  const auto marks = ParseDrainMarks(aBody);
+  if (!marks.ok()) {
+    return marks.status();
+  }
+  return FormatDrainReplies(aMarks.Apply(*marks));
+}
+
+absl::StatusOr<std::string>
+AnswerDrainMarks(const DrainMarks& aMarks)
+{
+  if (!aMarks.Learned()) {
+    return core::MakeError(errors::kMarksUnknown, "no marks were learned yet");
+  }
+  return FormatDrainMarks(aMarks.All());
+}
+
+} // namespace plantainslip::authority
--- a/src/authority/order_journal.cpp
+++ b/src/authority/order_journal.cpp
@@ -42,6 +42,34 @@
   return order;
 }
 
+constexpr std::pair<OrderPhase, const char*> kPhaseNames[] = {
+  { OrderPhase::kDraining, "draining" },
+  { OrderPhase::kOpen, "open" },
+  { OrderPhase::kSettled, "settled" }
+};
+
+std::string
+PhaseName(OrderPhase aPhase)
+{
+  for (const auto& [phase, name] : kPhaseNames) {
+    if (phase == aPhase) {
+      return name;
+    }
+  }
+  return "settled";
+}
+
+absl::StatusOr<OrderPhase>
+ParsePhase(const std::string& aText)
+{
+  for (const auto& [phase, name] : kPhaseNames) {
+    if (name == aText) {
+      return phase;
+    }
+  }
+  return core::MakeError(errors::kBadJournal, "phase '" + aText + "'");
+}
+
 json
 FormatEntry(const JournalEntry& aEntry)
 {
@@ -53,7 +81,29 @@
            { "model", order.model },
            { "version", order.version },
            { "adapter", order.adapter },
-           { "phase", aEntry.phase == OrderPhase::kOpen ? "open" : "settled" } };
+           { "phase", PhaseName(aEntry.phase) } };
+}
+
+absl::StatusOr<JournalEntry>
+ParseEntry(const core::TargetId& aTarget, const platform::StoredValue& aStored)
+{
+  try {
+    const json line = json::parse(aStored.value);
+    auto order = ParseOrder(line);
+    const auto phase = ParsePhase(line.at("phase").get<std::string>());
+    if (!order.ok() || !phase.ok()) {
+      return order.ok() ? phase.status() : order.status();
+    }
+    return JournalEntry{ aTarget, *std::move(order), *phase, aStored.revision };
+  } catch (const json::exception& problem) {
+    return core::MakeError(errors::kBadJournal, problem.what());
+  }
+}
+
+DrainMark
+MarkOf(const JournalEntry& aEntry)
+{
+  return { aEntry.target, aEntry.revision, aEntry.phase != OrderPhase::kSettled };
 }
 
 } // namespace
@@ -65,48 +115,96 @@
 }
 
 std::string
-OrderJournal::KeyOf(const core::TargetId& aTarget) const
+OrderJournal::Prefix() const
 {
-  return "orders/" + this->zone.Text() + "/" + aTarget.Text();
+  return "orders/" + this->zone.Text() + "/";
 }
 
-absl::StatusOr<JournalEntry>
-OrderJournal::Read(const core::TargetId& aTarget)
+absl::Status
+OrderJournal::Load()
 {
-  const auto stored = this->store.Get(this->KeyOf(aTarget));
-  if (!stored.ok()) {
-    return core::MakeError(errors::kNotJournaled, stored.status().message());
+  if (this->loaded) {
+    return absl::OkStatus();
   }
-  JournalEntry entry;
-  entry.target = aTarget;
-  if (!stored->has_value()) {
-    return entry;
+  const std::string prefix = this->Prefix();
+  const auto values = this->store.List(prefix);
+  if (!values.ok()) {
+    return core::MakeError(errors::kNotJournaled, values.status().message());
   }
-  try {
-    const json line = json::parse((*stored)->value);
-    auto order = ParseOrder(line);
-    if (!order.ok()) {
-      return order.status();
+  for (const platform::KeyedValue& value : *values) {
+    const core::TargetId target(value.key.substr(prefix.size()));
+    auto entry = ParseEntry(target, value.stored);
+    if (!entry.ok()) {
+      return entry.status();
     }
-    entry.order = *std::move(order);
-    entry.phase = line.at("phase") == "open" ? OrderPhase::kOpen : OrderPhase::kSettled;
-    entry.revision = (*stored)->revision;
-    return entry;
-  } catch (const json::exception& problem) {
-    return core::MakeError(errors::kBadJournal, problem.what());
+    this->entries[target] = *std::move(entry);
+  }
+  this->loaded = true;
+  return absl::OkStatus();
+}
+
+void
+OrderJournal::Forget()
+{
+  this->loaded = false;
+  this->entries.clear();
+}
+
+JournalEntry
+OrderJournal::Entry(const core::TargetId& aTarget) const
+{
+  const auto found = this->entries.find(aTarget);
+  if (found != this->entries.end()) {
+    return found->second;
   }
+  JournalEntry none;
+  none.target = aTarget;
+  return none;
+}
+
+std::vector<JournalEntry>
+OrderJournal::Entries() const
+{
+  std::vector<JournalEntry> all;
+  for (const auto& [target, entry] : this->entries) {
+    all.push_back(entry);
+  }
+  return all;
 }
 
 absl::StatusOr<JournalEntry>
 OrderJournal::Write(JournalEntry aEntry)
 {
   const auto written = this->store.CompareAndSwap(
-    this->KeyOf(aEntry.target), aEntry.revision, FormatEntry(aEntry).dump());
+    this->Prefix() + aEntry.target.Text(), aEntry.revision, FormatEntry(aEntry).dump());
   if (!written.ok()) {
+    // What the store holds now is not known, so it is read again.
+    this->Forget();
     return core::MakeError(errors::kNotJournaled, written.status().message());
   }
   aEntry.revision = *written;
+  this->entries[aEntry.target] = aEntry;
   return aEntry;
 }
 
+std::vector<DrainMark>
+OrderJournal::Marks() const
+{
+  std::vector<DrainMark> marks;
+  for (const auto& [target, entry] : this->entries) {
+    marks.push_back(MarkOf(entry));
+  }
+  return marks;
+}
+
+absl::StatusOr<std::vector<DrainMark>>
+ReadDrainMarks(platform::Store& aStore, const core::ZoneId& aZone)
+{
+  OrderJournal journal(aStore, aZone);
+  if (const absl::Status loaded = journal.Load(); !loaded.ok()) {
+    return loaded;
+  }
+  return journal.Marks();
+}
+
 } // namespace plantainslip::authority
--- a/src/authority/zone_lease.cpp
+++ b/src/authority/zone_lease.cpp
@@ -6,9 +6,20 @@
 
 namespace plantainslip::authority {
 
-ZoneLease::ZoneLease(platform::Store& aStore, const core::Clock& aClock, ZoneLeaseOptions aOptions)
+namespace {
+
+// A holder may miss two renewals before it has to stand down.
+constexpr int kRenewalsPerTerm = 3;
+
+} // namespace
+
+ZoneLease::ZoneLease(platform::Store& aStore,
+                     const core::Clock& aClock,
+                     TermTimer& aTimer,
+                     ZoneLeaseOptions aOptions)
   : store(aStore)
   , clock(aClock)
+  , timer(aTimer)
   , options(std::move(aOptions))
 {
 }
@@ -24,11 +35,17 @@
 {
   // The duration counts from before the call was sent, since the store may start it then.
   const core::MonotonicTime sentAt = this->clock.Now();
-  if (this->Token().has_value()) {
+  if (this->token.has_value() && !this->Token().has_value()) {
+    this->StandDown();
+  }
+  if (sentAt < this->nextCallAt) {
+    return;
+  }
+  this->nextCallAt = sentAt + this->options.duration / kRenewalsPerTerm;
+  if (this->token.has_value()) {
     this->Adopt(this->store.RenewLease(this->Name(), *this->token, this->options.duration), sentAt);
     return;
   }
-  this->token.reset();
   this->Adopt(
     this->store.AcquireLease(this->Name(), this->options.holder.Text(), this->options.duration),
     sentAt);
@@ -40,24 +57,34 @@
   if (aGrant.ok()) {
     this->token = aGrant->token;
     this->endsAt = aSentAt + aGrant->duration - this->options.margin;
+    this->timer.Arm(this->endsAt);
   } else if (core::IsError(aGrant.status(), platform::errors::kLeaseHeld)) {
-    this->token.reset();
+    this->StandDown();
   }
 }
 
+void
+ZoneLease::StandDown()
+{
+  // The token goes first: nothing is sent without it, so the process need not end.
+  this->token.reset();
+  this->timer.Disarm();
+}
+
 std::optional<core::FencingToken>
 ZoneLease::Token() const
 {
-  return this->clock.Now() < this->endsAt ? this->token : std::nullopt;
+  return this->clock.Now() < this->endsAt - this->options.margin ? this->token : std::nullopt;
 }
 
 void
 ZoneLease::Release()
 {
   if (this->token.has_value()) {
+    const core::FencingToken released = *this->token;
+    this->StandDown();
     // Not waited for: an unreleased lease lapses by itself.
-    this->store.ReleaseLease(this->Name(), *this->token).IgnoreError();
-    this->token.reset();
+    this->store.ReleaseLease(this->Name(), released).IgnoreError();
   }
 }
 
--- a/src/net/http_stream.cpp
+++ b/src/net/http_stream.cpp
@@ -1,6 +1,8 @@
 #include <array>
 #include <limits>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -63,7 +65,7 @@
       return core::MakeError(errors::kNotConnected, aAddress.Text() + ": " + failure.message());
     }
     this->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
-    return absl::OkStatus();
+    return this->BoundDelivery(aRequest.unacknowledgedTimeout);
   }
 
   absl::Status SendAndReadHead(const Address& aAddress, const HttpRequest& aRequest)
@@ -115,6 +117,20 @@
   }
 
 private:
+  absl::Status BoundDelivery(std::chrono::milliseconds aTimeout)
+  {
+    if (aTimeout.count() == 0) {
+      return absl::OkStatus();
+    }
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    beast::error_code failure;
+    this->stream.socket().set_option(UserTimeout(static_cast<int>(aTimeout.count())), failure);
+    if (!failure) {
+      this->stream.socket().set_option(asio::socket_base::linger(true, 0), failure);
+    }
+    return failure ? core::MakeError(errors::kNotConnected, failure.message()) : absl::OkStatus();
+  }
+
   void RunToEnd()
   {
     this->context.restart();
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -166,8 +166,7 @@
     this->times = { this->context.clock.Now(), {}, 0 };
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
-    const AttemptEnd end =
-      this->RunAttempt(this->context.engines.Generate(engine.address, this->MakeAttempt(engine)));
+    const AttemptEnd end = this->RunAttempt(this->OpenStream(engine));
     this->context.inFlight.Remove(engine.target, this->context.clock.Now());
     if (end == AttemptEnd::kFinished) {
       this->TeachCapacity(aRanked);
@@ -179,6 +178,17 @@
     return end;
   }
 
+  // The attempt is counted in before the mark is looked at, so no work slips past a drain.
+  absl::StatusOr<std::unique_ptr<targets::TokenStream>> OpenStream(
+    const control::EngineView& aEngine)
+  {
+    const targets::GenerateRequest attempt = this->MakeAttempt(aEngine);
+    if (!this->context.drainMarks.MayBegin(aEngine.target)) {
+      return core::MakeError(targets::errors::kRefused, aEngine.target.Text() + " is draining");
+    }
+    return this->context.engines.Generate(aEngine.address, attempt);
+  }
+
   AttemptEnd TryPeer(const control::EntryView& aPeer)
   {
     SpilledCompletion spilled;
--- a/src/requests/dispatcher.cpp
+++ b/src/requests/dispatcher.cpp
@@ -38,7 +38,7 @@
 ShowReadiness(RequestContext& aContext, net::HttpExchange& aExchange)
 {
   const bool configured = aContext.board.Current()->configuration != nullptr;
-  const bool ready = aContext.gate.IsOpen() && configured;
+  const bool ready = aContext.gate.IsOpen() && configured && aContext.drainMarks.Learned();
   aExchange.Respond(ready ? kOk : kUnavailable, "text/plain", ready ? "ready\n" : "not ready\n");
 }
 
--- a/src/requests/placement.cpp
+++ b/src/requests/placement.cpp
@@ -24,9 +24,11 @@
 {
   const core::MonotonicTime now = aContext.clock.Now();
   const CompletionRequest& request = aQuery.request;
-  const routing::EngineQuery query{ aContext.zone,       request.deployment, request.adapter,
-                                    aQuery.version,      request.prompt,     request.maxTokens,
-                                    aQuery.failedEngines };
+  std::set<core::TargetId> excluded = aContext.drainMarks.Draining();
+  excluded.insert(aQuery.failedEngines.begin(), aQuery.failedEngines.end());
+  const routing::EngineQuery query{ aContext.zone,  request.deployment, request.adapter,
+                                    aQuery.version, request.prompt,     request.maxTokens,
+                                    excluded };
   const routing::RoutingInputs inputs{ aContext.inFlight,
                                        aContext.knowledge.prefixes,
                                        aContext.knowledge.capacity,
--- a/src/targets/http_engine_client.cpp
+++ b/src/targets/http_engine_client.cpp
@@ -204,15 +204,22 @@
 
   absl::Status SendOrder(const net::Address& aEngine, const EngineOrder& aOrder) override
   {
-    const auto reply = this->Call(aEngine, "POST", "/v1/orders", ToJson(aOrder).dump());
-    if (!reply.ok()) {
-      return reply.status();
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/orders";
+    request.body = ToJson(aOrder).dump();
+    request.timeout = this->timeout;
+    request.unacknowledgedTimeout = kLongestOrderDelivery;
+    const auto answer = net::HttpStream::Open(aEngine, request);
+    if (!answer.ok()) {
+      return TurnNetError(answer.status());
     }
-    if (reply->status == kOk) {
+    const int status = (*answer)->StatusCode();
+    if (status == kOk) {
       return absl::OkStatus();
     }
-    const bool fenced = reply->status == kForbidden;
-    return core::MakeError(fenced ? errors::kOrderFenced : errors::kOrderRefused, reply->body);
+    return core::MakeError(status == kForbidden ? errors::kOrderFenced : errors::kOrderRefused,
+                           "status " + std::to_string(status));
   }
 
 private:
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -141,6 +141,15 @@
   kill(this->pid, aSignal);
 }
 
+void
+ChildProcess::AwaitStopped() const
+{
+  int status = 0;
+  if (waitpid(this->pid, &status, WUNTRACED) != this->pid || !WIFSTOPPED(status)) {
+    throw std::runtime_error("the process ended instead of stopping: " + this->Output());
+  }
+}
+
 int
 ChildProcess::WaitForExit()
 {
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -37,6 +37,9 @@
   /// @brief Sends a signal.
   void Signal(int aSignal) const;
 
+  /// @brief Waits until the process has been stopped by a signal, such as SIGSTOP.
+  void AwaitStopped() const;
+
   /// @brief Waits for the end of the process.
   /// @return its exit code, or 128 and the signal that ended it
   int WaitForExit();
--- a/tests/harness/fault_matrix.cpp
+++ b/tests/harness/fault_matrix.cpp
@@ -181,7 +181,13 @@
   this->clock.Advance(kPause);
   if (this->others) {
     this->pausing = true;
-    this->others();
+    try {
+      this->others();
+    } catch (const SimulatedCrash&) {
+      // The process was ended while it stood still.
+      this->pausing = false;
+      throw;
+    }
     this->pausing = false;
   }
 }
