Claim keys in segments by group commit, at most once by one function

Cause: a claim was one value of the store for each key, never cleaned up; a call that provably did not run left a claim that later callers were told `unknown` of; and keys of any form were taken, so expiry could reopen one.

Change: keys are version 7 UUIDs. Claims go into segments of a bucket and time slice, written by compare-and-swap before the call; the bucket's owner writes for all, and whoever cannot reach it writes itself, since an operation may be applied twice. Slots of the store are used again in turn, so there are no clean-up writes. A call that did not run is recorded so and its key is spent.

The whole-path test's key `key-1` is now a version 7 UUID, since others are refused.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include <plantainslip/claims/bucket_owner.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/core/log.hpp>
@@ -66,8 +67,12 @@
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
-  const auto claimBook = claims::MakeStoreClaimBook(*store);
   control::ViewBoard board;
+  const core::InstanceId self(aSettings.instance);
+  const auto claimBook = claims::MakeSegmentClaimBook(
+    {}, { *store, clock, nullptr, [&](std::uint64_t aBucket) {
+           return claims::FindBucketOwner(aBucket, self, board.Current()->entries);
+         } });
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
                                     .operatorKey = aSettings.operatorKey,
@@ -106,6 +111,7 @@
     core::LogLevel::kInfo, "stopping", { { "open", std::to_string(context.ledger.OpenNow()) } });
   context.gate.Close();
   context.gate.WaitUntilEmpty();
+  claimBook->Flush();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
   loop->Stop();
--- a/src/requests/service_calls.cpp
+++ b/src/requests/service_calls.cpp
@@ -2,8 +2,7 @@
 
 #include <set>
 
-#include <plantainslip/claims/errors.hpp>
-#include <plantainslip/core/log.hpp>
+#include <plantainslip/requests/at_most_once.hpp>
 #include <plantainslip/requests/errors.hpp>
 #include <plantainslip/requests/problem.hpp>
 #include <plantainslip/routing/choose_target.hpp>
@@ -116,33 +115,13 @@
     if (!target.ok()) {
       return this->Refuse(target.status());
     }
-    const auto claim = this->context.claims.Claim(aParsed.call.key, this->requestId);
-    if (!claim.ok()) {
-      const bool claimed = core::IsError(claim.status(), claims::errors::kClaimedBefore);
-      return this->Fail(claim.status(), claimed ? core::Outcome::kUnknown : core::Outcome::kNotRun);
-    }
-    if (!claim->granted) {
-      return this->Answer(claim->recorded->status, claim->recorded->body);
-    }
-    return this->CallClaimed(aParsed, *target);
-  }
-
-  RequestEnd CallClaimed(const ParsedCall& aParsed, const control::ServiceView& aTarget)
-  {
-    const auto reply = this->context.services.Call(aTarget.address, aParsed.call);
-    if (!reply.ok()) {
-      // The claim stays, so the key can never run: what is not known now stays unknown.
-      return this->Fail(reply.status(), targets::OutcomeOfFailure(reply.status()));
-    }
-    const absl::Status recorded = this->context.claims.Record(
-      aParsed.call.key, this->requestId, { reply->status, reply->body });
-    if (!recorded.ok()) {
-      core::Log(
-        core::LogLevel::kWarning,
-        "outcome not recorded",
-        { { "request", this->requestId.Text() }, { "problem", std::string(recorded.message()) } });
-    }
-    return this->Answer(reply->status, reply->body);
+    const OnceResult result =
+      CallAtMostOnce({ this->context.claims, this->context.services, this->context.clock },
+                     target->address,
+                     aParsed.service,
+                     aParsed.call);
+    return result.reply.ok() ? this->Answer(result.reply->status, result.reply->body)
+                             : this->Fail(result.reply.status(), result.outcome);
   }
 
   RequestEnd Answer(int aStatus, const std::string& aBody)
--- a/tests/src/process-whole-path.cpp
+++ b/tests/src/process-whole-path.cpp
@@ -5,6 +5,9 @@
 #include <fakes/expected_answer.hpp>
 #include <harness/small_fleet.hpp>
 
+#include <plantainslip/claims/claim_key.hpp>
+#include <plantainslip/core/random.hpp>
+
 using namespace plantainslip; // NOLINT(google-build-using-namespace)
 using nlohmann::json;
 
@@ -81,14 +84,16 @@
 
   SUBCASE("a payment with the same key runs once, and its answer is given again")
   {
-    const std::vector<net::Header> headers = { { "Idempotency-Key", "key-1" } };
+    const std::string key =
+      claims::FormatClaimKey(core::SystemClock().WallNow(), 1, core::MakeSeed()).Text();
+    const std::vector<net::Header> headers = { { "Idempotency-Key", key } };
     const auto first =
       harness::Send(entry, "POST", "/v1/services/payments/pay", { { "fee", 1 } }, headers);
     const auto second =
       harness::Send(entry, "POST", "/v1/services/payments/pay", { { "fee", 1 } }, headers);
     CHECK(first.status == 200);
     CHECK(second.body == first.body);
-    CHECK(json::parse(harness::Send(service, "GET", "/v1/runs").body) == json{ { "key-1", 1 } });
+    CHECK(json::parse(harness::Send(service, "GET", "/v1/runs").body) == json{ { key, 1 } });
   }
 
   SUBCASE("a call without the operators' key gets nothing")
