--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include <plantainslip/claims/bucket_owner.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/core/log.hpp>
@@ -10,6 +11,7 @@
 #include <plantainslip/peers/peer_server.hpp>
 #include <plantainslip/platform/http_platform.hpp>
 #include <plantainslip/requests/dispatcher.hpp>
+#include <plantainslip/requests/spill_over.hpp>
 
 #include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
@@ -73,6 +75,20 @@
     ->check(CLI::Range(0, 600'000));
 }
 
+peers::PeerHandlers
+MakePeerHandlers(requests::RequestContext& aContext)
+{
+  peers::PeerHandlers handlers;
+  handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
+    return aContext.claims.HandleCommit(aBody);
+  };
+  handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
+                                                       const peers::SendPiece& aSend) {
+    return requests::HandleSpilledCompletion(aContext, aBody, aSend);
+  };
+  return handlers;
+}
+
 absl::StatusOr<std::unique_ptr<peers::PeerServer>>
 ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
 {
@@ -93,9 +109,13 @@
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
-  const auto claimBook = claims::MakeStoreClaimBook(*store);
   const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey);
   control::ViewBoard board;
+  const core::InstanceId self(aSettings.instance);
+  const auto claimBook = claims::MakeSegmentClaimBook(
+    {}, { *store, clock, peerClient.get(), [&](std::uint64_t aBucket) {
+           return claims::FindBucketOwner(aBucket, self, board.Current()->entries);
+         } });
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
                                     .operatorKey = aSettings.operatorKey,
@@ -113,8 +133,7 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
-  peers::PeerHandlers peerHandlers;
-  const auto peerServer = ServePeers(aSettings, std::move(peerHandlers));
+  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
   if (!peerServer.ok()) {
     std::cerr << peerServer.status().message() << "\n";
     return apps::kExitFailed;
@@ -143,6 +162,7 @@
     core::LogLevel::kInfo, "stopping", { { "open", std::to_string(context.ledger.OpenNow()) } });
   context.gate.Close();
   context.gate.WaitUntilEmpty();
+  claimBook->Flush();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
   (*peerServer)->Stop();
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -50,8 +50,6 @@
   routing::RoutingOptions routing{};
   admission::AdmissionOptions admission{};
   retries::RetryBudget retryBudget{};
-  /// @brief Way to instances of other zones; null if requests are never spilled over.
-  peers::PeerClient* peers = nullptr;
 };
 
 } // namespace plantainslip::requests
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -190,7 +190,7 @@
     spilled.version = this->version = this->VersionForPeer();
     this->times = { this->context.clock.Now(), {}, 0 };
     const AttemptEnd end =
-      this->RunAttempt(OpenSpilledCompletion(*this->context.peers,
+      this->RunAttempt(OpenSpilledCompletion(this->context.peers,
                                              aPeer.peerAddress,
                                              spilled,
                                              std::min(this->TimeLeft(), kLongestEngineSilence)));
--- a/src/requests/placement.cpp
+++ b/src/requests/placement.cpp
@@ -58,7 +58,7 @@
   core::RandomSource random = ForkRandom(aContext);
   auto place = FindEngine(aContext, *view, aQuery, random, aNoPlace);
   const bool unknown = core::IsError(aNoPlace.cause, routing::errors::kUnknownName);
-  if (place.has_value() || unknown || !aQuery.maySpill || aContext.peers == nullptr) {
+  if (place.has_value() || unknown || !aQuery.maySpill) {
     return place;
   }
   auto peer = routing::ChoosePeer(
