--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include <plantainslip/authority/drain_messages.hpp>
+#include <plantainslip/claims/bucket_owner.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/control/drain_mark_learner.hpp>
@@ -12,6 +13,7 @@
 #include <plantainslip/peers/peer_server.hpp>
 #include <plantainslip/platform/http_platform.hpp>
 #include <plantainslip/requests/dispatcher.hpp>
+#include <plantainslip/requests/spill_over.hpp>
 
 #include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
@@ -75,21 +77,17 @@
     ->check(CLI::Range(0, 600'000));
 }
 
-absl::StatusOr<std::unique_ptr<peers::PeerServer>>
-ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
-{
-  peers::PeerServerOptions options;
-  options.host = aSettings.host;
-  options.port = aSettings.peerPort;
-  options.key = aSettings.peerKey;
-  options.threads = aSettings.peerThreads;
-  return peers::PeerServer::Create(options, std::move(aHandlers));
-}
-
 peers::PeerHandlers
 MakePeerHandlers(requests::RequestContext& aContext)
 {
   peers::PeerHandlers handlers;
+  handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
+    return aContext.claims.HandleCommit(aBody);
+  };
+  handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
+                                                       const peers::SendPiece& aSend) {
+    return requests::HandleSpilledCompletion(aContext, aBody, aSend);
+  };
   handlers.calls[authority::kDrainMarkKind] = [&aContext](const std::string& aBody) {
     return authority::AnswerDrainMark(aContext.drainMarks, aBody);
   };
@@ -99,6 +97,17 @@
   return handlers;
 }
 
+absl::StatusOr<std::unique_ptr<peers::PeerServer>>
+ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
+{
+  peers::PeerServerOptions options;
+  options.host = aSettings.host;
+  options.port = aSettings.peerPort;
+  options.key = aSettings.peerKey;
+  options.threads = aSettings.peerThreads;
+  return peers::PeerServer::Create(options, std::move(aHandlers));
+}
+
 int
 Serve(const Settings& aSettings)
 {
@@ -108,9 +117,13 @@
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
-  const auto claimBook = claims::MakeStoreClaimBook(*store);
   const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey);
   control::ViewBoard board;
+  const core::InstanceId self(aSettings.instance);
+  const auto claimBook = claims::MakeSegmentClaimBook(
+    {}, { *store, clock, peerClient.get(), [&](std::uint64_t aBucket) {
+           return claims::FindBucketOwner(aBucket, self, board.Current()->entries);
+         } });
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
                                     .operatorKey = aSettings.operatorKey,
@@ -119,6 +132,7 @@
                                     .engines = *engines,
                                     .services = *services,
                                     .claims = *claimBook,
+                                    .peers = *peerClient,
                                     .board = board,
                                     .gate = {},
                                     .ledger = {},
@@ -126,10 +140,8 @@
                                     .wholeAnswer = {},
                                     .inFlight = {},
                                     .randomMutex = {},
-                                    .random = core::RandomSource(core::MakeSeed()),
-                                    .peers = peerClient.get() };
-  peers::PeerHandlers peerHandlers = MakePeerHandlers(context);
-  const auto peerServer = ServePeers(aSettings, std::move(peerHandlers));
+                                    .random = core::RandomSource(core::MakeSeed()) };
+  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
   if (!peerServer.ok()) {
     std::cerr << peerServer.status().message() << "\n";
     return apps::kExitFailed;
@@ -160,6 +172,7 @@
     core::LogLevel::kInfo, "stopping", { { "open", std::to_string(context.ledger.OpenNow()) } });
   context.gate.Close();
   context.gate.WaitUntilEmpty();
+  claimBook->Flush();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
   (*peerServer)->Stop();
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -34,6 +34,7 @@
   targets::EngineClient& engines;
   targets::ServiceClient& services;
   claims::ClaimBook& claims;
+  peers::PeerClient& peers;
   control::ViewBoard& board;
 
   DrainGate gate;
@@ -50,8 +51,6 @@
   routing::RoutingOptions routing{};
   admission::AdmissionOptions admission{};
   retries::RetryBudget retryBudget{};
-  /// @brief Way to instances of other zones; null if requests are never spilled over.
-  peers::PeerClient* peers = nullptr;
   /// @brief Which targets get no new work, since they are about to be changed.
   authority::DrainMarks drainMarks{ inFlight };
 };
--- a/tests/src/process-authority.cpp
+++ b/tests/src/process-authority.cpp
@@ -46,10 +46,10 @@
 {
   for (const json& order : OrdersOf(aEngine)) {
     aHistory.Add(harness::OrderEvent{ "engine-1",
-                                     order.at("order"),
-                                     order.at("token"),
-                                     order.at("accepted"),
-                                     order.at("running") });
+                                      order.at("order"),
+                                      order.at("token"),
+                                      order.at("accepted"),
+                                      order.at("running") });
   }
 }
 
