--- a/include/plantainslip/roles/demand_estimate.hpp
+++ b/include/plantainslip/roles/demand_estimate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <optional>
 
 #include <plantainslip/core/clock.hpp>
@@ -13,8 +14,16 @@
   double decode = 0.0;
 };
 
-/// @brief Level of one noisy rate: a slow average that jumps to the fast one when the difference is
-///        more than noise.
+/// @brief A level and the standard deviation that noise alone gives it.
+struct Level
+{
+  double value = 0.0;
+  double deviation = 0.0;
+};
+
+/// @brief Level of one noisy rate. Averages over short and long times are kept side by side; the
+///        longest that agrees with all shorter ones is used (Lepski's method), so that the estimate
+///        is steady under noise and quick under a change.
 /// @note Constant time and size; no errors.
 class RateEstimate
 {
@@ -24,39 +33,48 @@
   /// @param aRate  tokens a second since the last reading
   void Observe(core::MonotonicTime aNow, double aRate);
 
-  /// @brief Gives the present level; zero before the first reading.
-  double Level() const { return this->slow; }
+  /// @brief Tells whether enough was read to tell a change from noise.
+  bool IsSettled() const;
 
-  /// @brief Gives the standard deviation that noise alone gives the level.
-  double Deviation() const;
+  /// @brief Gives the level that is to be expected in a short while.
+  /// @param aLead  how far ahead; seconds
+  Level Ahead(double aLead) const;
 
 private:
-  double FastDeviation() const;
+  // One average, and the average of that average, from which its lag and trend follow.
+  struct Scale
+  {
+    double once = 0.0;
+    double twice = 0.0;
+  };
+
+  static constexpr std::size_t kScales = 5;
+
+  Level AtScale(std::size_t aScale, double aLead) const;
 
   std::optional<core::MonotonicTime> lastAt;
+  double lastRate = 0.0;
   double step = 1.0;
   double age = 0.0;
-  double fast = 0.0;
-  double slow = 0.0;
   double variance = 0.0;
+  std::array<Scale, kScales> scales;
 };
 
-/// @brief Levels of both phases.
-class DemandEstimate
+/// @brief Estimates of both phases.
+struct DemandEstimate
 {
-public:
-  /// @brief Takes one reading of both rates.
-  void Observe(core::MonotonicTime aNow, const PhaseDemand& aRates);
-
-  /// @brief Gives the present levels.
-  PhaseDemand Level() const;
-
-  /// @brief Gives the standard deviations that noise alone gives the levels.
-  PhaseDemand Deviation() const;
-
-private:
   RateEstimate prefill;
   RateEstimate decode;
+
+  /// @brief Takes one reading of both rates.
+  void Observe(core::MonotonicTime aNow, const PhaseDemand& aRates)
+  {
+    this->prefill.Observe(aNow, aRates.prefill);
+    this->decode.Observe(aNow, aRates.decode);
+  }
+
+  /// @brief Tells whether both phases' levels can be relied on.
+  bool IsSettled() const { return this->prefill.IsSettled() && this->decode.IsSettled(); }
 };
 
 } // namespace plantainslip::roles
--- a/src/roles/demand_estimate.cpp
+++ b/src/roles/demand_estimate.cpp
@@ -7,11 +7,13 @@
 
 namespace {
 
-constexpr double kFastSeconds = 8.0;
-constexpr double kSlowSeconds = 60.0;
+constexpr std::array<double, 5> kScaleSeconds = { 6.0, 12.0, 24.0, 48.0, 96.0 };
 constexpr double kVarianceSeconds = 240.0;
-// Beyond so many standard deviations a difference is a change of demand.
-constexpr double kJumpDeviations = 4.0;
+constexpr double kSettledSeconds = 120.0;
+// Two averages that differ by more standard deviations than this do not tell of the same level.
+constexpr double kAgreeDeviations = 3.5;
+// How much taking out the lag raises the variance of an average.
+constexpr double kLagCorrectionVariance = 2.5;
 
 // Share of a new reading in an average; the first readings weigh alike.
 double
@@ -27,52 +29,59 @@
 {
   if (this->lastAt.has_value()) {
     this->step = std::max(std::chrono::duration<double>(aNow - *this->lastAt).count(), 1e-3);
+    // Half the square of two readings' difference: noise without the slow movement of the level.
+    const double difference = aRate - this->lastRate;
+    const double share = ShareOf(this->step, std::max(this->age, this->step), kVarianceSeconds);
+    this->variance += share * (difference * difference / 2.0 - this->variance);
   }
   this->lastAt = aNow;
+  this->lastRate = aRate;
   this->age += this->step;
-  const double distance = aRate - this->slow;
-  this->fast += ShareOf(this->step, this->age, kFastSeconds) * (aRate - this->fast);
-  this->slow += ShareOf(this->step, this->age, kSlowSeconds) * distance;
-  const double share = ShareOf(this->step, this->age, kVarianceSeconds);
-  if (this->age > this->step) {
-    this->variance += share * (distance * distance - this->variance);
+  for (std::size_t index = 0; index < kScales; ++index) {
+    Scale& scale = this->scales[index];
+    const double share = ShareOf(this->step, this->age, kScaleSeconds[index]);
+    scale.once += share * (aRate - scale.once);
+    scale.twice += share * (scale.once - scale.twice);
   }
-  const bool settled = this->age > kFastSeconds;
-  if (settled && std::abs(this->fast - this->slow) > kJumpDeviations * this->FastDeviation()) {
-    this->slow = this->fast;
-  }
-}
-
-double
-RateEstimate::FastDeviation() const
-{
-  return std::sqrt(this->variance * std::min(1.0, this->step / (2.0 * kFastSeconds)));
-}
-
-double
-RateEstimate::Deviation() const
-{
-  const double seconds = std::min(2.0 * kSlowSeconds, std::max(this->age, this->step));
-  return std::sqrt(this->variance * this->step / seconds);
 }
 
-void
-DemandEstimate::Observe(core::MonotonicTime aNow, const PhaseDemand& aRates)
+bool
+RateEstimate::IsSettled() const
 {
-  this->prefill.Observe(aNow, aRates.prefill);
-  this->decode.Observe(aNow, aRates.decode);
+  return this->age >= kSettledSeconds;
 }
 
-PhaseDemand
-DemandEstimate::Level() const
+Level
+RateEstimate::AtScale(std::size_t aScale, double aLead) const
 {
-  return { this->prefill.Level(), this->decode.Level() };
+  const Scale& scale = this->scales[aScale];
+  const double seconds = std::min(kScaleSeconds[aScale], std::max(this->age, this->step));
+  const double lag = scale.once - scale.twice;
+  // Trends shorter than the lead are noise rather than a course.
+  const double lead = std::min(aLead / seconds, 0.5);
+  const double ofOne = std::min(1.0, this->step / (2.0 * seconds));
+  return { std::max(0.0, scale.once + lag * (1.0 + lead)),
+           std::sqrt(this->variance * ofOne * kLagCorrectionVariance) };
 }
 
-PhaseDemand
-DemandEstimate::Deviation() const
+Level
+RateEstimate::Ahead(double aLead) const
 {
-  return { this->prefill.Deviation(), this->decode.Deviation() };
+  std::array<Level, kScales> levels;
+  for (std::size_t index = 0; index < kScales; ++index) {
+    levels[index] = this->AtScale(index, aLead);
+  }
+  std::size_t chosen = 0;
+  for (std::size_t longer = 1; longer < kScales; ++longer) {
+    for (std::size_t shorter = 0; shorter < longer; ++shorter) {
+      const double apart = std::abs(levels[longer].value - levels[shorter].value);
+      if (apart > kAgreeDeviations * levels[shorter].deviation) {
+        return levels[chosen];
+      }
+    }
+    chosen = longer;
+  }
+  return levels[chosen];
 }
 
 } // namespace plantainslip::roles
--- a/src/roles/role_planner.cpp
+++ b/src/roles/role_planner.cpp
@@ -22,11 +22,10 @@
 }
 
 // Least demand that noise leaves credible.
-PhaseDemand
-Credible(const PhaseDemand& aLevel, const PhaseDemand& aDeviation)
+double
+Credible(const Level& aLevel)
 {
-  return { std::max(0.0, aLevel.prefill - kCertainDeviations * aDeviation.prefill),
-           std::max(0.0, aLevel.decode - kCertainDeviations * aDeviation.decode) };
+  return std::max(0.0, aLevel.value - kCertainDeviations * aLevel.deviation);
 }
 
 // Room between demand and capacity of the tighter phase, by which equally good splits are told
@@ -55,25 +54,27 @@
 RoleSplit
 PlanSplit(const PlannerOptions& aOptions,
           const config::PlannerWeights& aWeights,
-          const PhaseDemand& aLevel,
-          const PhaseDemand& aDeviation,
+          const DemandEstimate& aDemand,
           const RoleSplit& aPresent)
 {
   const std::size_t engines = aPresent.prefill + aPresent.decode;
-  if (engines < 2) {
+  if (engines < 2 || !aDemand.IsSettled()) {
     return aPresent;
   }
   const double horizon = std::chrono::duration<double>(aOptions.horizon).count();
   const double away = std::chrono::duration<double>(aOptions.changeTime).count();
   const double costOfChange = aWeights.goodput * away / static_cast<double>(engines) +
                               aWeights.roleChanges * kChangePenaltySeconds;
-  const PhaseDemand credible = Credible(aLevel, aDeviation);
+  const Level prefillLevel = aDemand.prefill.Ahead(away / 2.0);
+  const Level decodeLevel = aDemand.decode.Ahead(away / 2.0);
+  const PhaseDemand level{ prefillLevel.value, decodeLevel.value };
+  const PhaseDemand credible{ Credible(prefillLevel), Credible(decodeLevel) };
   const double served = ServedShare(credible, aOptions.capacity, aPresent);
   RoleSplit best = aPresent;
   double bestValue = 0.0;
   for (std::size_t prefill = 1; prefill < engines; ++prefill) {
     const RoleSplit split{ prefill, engines - prefill };
-    const double gain = ServedShare(aLevel, aOptions.capacity, split) - served;
+    const double gain = ServedShare(level, aOptions.capacity, split) - served;
     const double cost = static_cast<double>(Distance(split, aPresent)) * costOfChange;
     const double value = aWeights.goodput * gain * horizon - cost;
     if (value > bestValue) {
@@ -148,12 +149,12 @@
           const DemandEstimate& aDemand,
           std::vector<PlannedEngine> aEngines)
 {
-  const PhaseDemand level = aDemand.Level();
-  if (aEngines.size() > 1 && level.prefill + level.decode > kLeastDemand) {
+  if (aEngines.size() > 1 && aDemand.IsSettled()) {
+    const PhaseDemand level{ aDemand.prefill.Ahead(0.0).value, aDemand.decode.Ahead(0.0).value };
     GiveOutMixed(aOptions, level, aEngines);
     KeepBothPhases(aEngines);
     const RoleSplit present = SplitOf(aEngines);
-    const RoleSplit wanted = PlanSplit(aOptions, aWeights, level, aDemand.Deviation(), present);
+    const RoleSplit wanted = PlanSplit(aOptions, aWeights, aDemand, present);
     for (std::size_t prefill = present.prefill; prefill < wanted.prefill; ++prefill) {
       MoveOne(aEngines, EngineRole::kDecode, EngineRole::kPrefill);
     }
