Count ends and late tokens for each deployment; count open requests by themselves

The open requests were the difference of the other counts, so a request without an end could not show. They are now counted apart, under one lock, and a scrape reads all counts of one moment.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -79,6 +79,7 @@
                                     .board = board,
                                     .gate = {},
                                     .ledger = {},
+                                    .deployments = {},
                                     .firstToken = {},
                                     .wholeAnswer = {},
                                     .inFlight = {},
--- a/include/plantainslip/observe/request_ledger.hpp
+++ b/include/plantainslip/observe/request_ledger.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <array>
-#include <atomic>
 #include <cstdint>
+#include <mutex>
 #include <string>
 
 namespace plantainslip::observe {
@@ -19,31 +19,38 @@
 /// @brief Number of ends.
 inline constexpr std::size_t kRequestEnds = 4;
 
-/// @brief Counts every accepted request from its beginning to its one end.
+/// @brief Gives an end's name in metrics, such as `caller_gone`. Constant time.
+std::string
+EndName(RequestEnd aEnd);
+
+/// @brief Counts every accepted request from its beginning to its one end. The open requests are
+///        counted by themselves, so that a request without an end shows as a difference.
 /// @note Safe from any thread; constant time; no errors.
 class RequestLedger
 {
 public:
   /// @brief Counts a request in.
-  void Open() { ++this->opened; }
+  void Open();
 
   /// @brief Counts a request out.
   /// @param aEnd  the end that it came to
-  void Close(RequestEnd aEnd) { ++this->ends[static_cast<std::size_t>(aEnd)]; }
+  void Close(RequestEnd aEnd);
 
   /// @brief Counts a request out that was dropped without an end, which is a fault of the system.
-  void Lose() { ++this->lost; }
+  void Lose();
 
   /// @brief Gives how many requests are open.
   std::int64_t OpenNow() const;
 
-  /// @brief Writes the counts in the text format of Prometheus.
+  /// @brief Writes the counts of one moment in the text format of Prometheus.
   std::string Format() const;
 
 private:
-  std::atomic<std::int64_t> opened = 0;
-  std::atomic<std::int64_t> lost = 0;
-  std::array<std::atomic<std::int64_t>, kRequestEnds> ends{};
+  mutable std::mutex mutex;
+  std::int64_t opened = 0;
+  std::int64_t open = 0;
+  std::int64_t lost = 0;
+  std::array<std::int64_t, kRequestEnds> ends{};
 };
 
 /// @brief One accepted request; makes sure that it is counted to exactly one end.
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -7,6 +7,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
 #include <plantainslip/platform/store.hpp>
@@ -33,6 +34,7 @@
 
   DrainGate gate;
   observe::RequestLedger ledger;
+  observe::DeploymentMetrics deployments;
   observe::LatencyHistogram firstToken;
   observe::LatencyHistogram wholeAnswer;
   routing::InFlight inFlight;
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -28,6 +28,16 @@
   kFailed,
 };
 
+// Callers may send any name, so only configured ones are counted apart.
+observe::DeploymentCounters&
+CountersOf(RequestContext& aContext, const core::DeploymentName& aDeployment)
+{
+  const auto view = aContext.board.Current();
+  const bool known =
+    view->configuration != nullptr && view->configuration->deployments.contains(aDeployment);
+  return aContext.deployments.Of(known ? aDeployment : core::DeploymentName("unknown"));
+}
+
 // One completion from its first attempt to its end.
 class CompletionRun
 {
@@ -41,11 +51,21 @@
     , requestId(aRequestId)
     , sink(aSink)
     , assembly(std::move(aRequestId), core::TokenOffset())
+    , counters(CountersOf(aContext, aRequest.deployment))
     , begunAt(aContext.clock.Now())
+    , lastTokenAt(this->begunAt)
   {
   }
 
   RequestEnd Run()
+  {
+    const RequestEnd end = this->RunToEnd();
+    this->counters.CountEnd(end);
+    return end;
+  }
+
+private:
+  RequestEnd RunToEnd()
   {
     while (this->assembly.Attempt().Number() < kMostAttempts) {
       const auto engine = this->Choose();
@@ -66,7 +86,6 @@
     return this->GiveUp();
   }
 
-private:
   absl::StatusOr<control::EngineView> Choose()
   {
     routing::EngineQuery query{ this->context.zone,
@@ -148,9 +167,14 @@
 
   bool Deliver(const targets::TokenChunk& aChunk)
   {
+    const core::MonotonicTime now = this->context.clock.Now();
     if (aChunk.offset == core::TokenOffset()) {
-      this->context.firstToken.Record(this->context.clock.Now() - this->begunAt);
+      this->context.firstToken.Record(now - this->begunAt);
+      this->counters.CountFirstToken(now - this->begunAt);
+    } else {
+      this->counters.CountTokenGap(now - this->lastTokenAt);
     }
+    this->lastTokenAt = now;
     return this->sink.Text(aChunk.offset, aChunk.text);
   }
 
@@ -187,7 +211,9 @@
   core::RequestId requestId;
   AnswerSink& sink;
   AnswerAssembly assembly;
+  observe::DeploymentCounters& counters;
   core::MonotonicTime begunAt;
+  core::MonotonicTime lastTokenAt;
   std::string version;
   std::set<core::TargetId> excluded;
   core::Outcome outcome = core::Outcome::kNotRun;
--- a/src/requests/dispatcher.cpp
+++ b/src/requests/dispatcher.cpp
@@ -45,7 +45,11 @@
 void
 ShowMetrics(RequestContext& aContext, net::HttpExchange& aExchange)
 {
-  const std::string text = aContext.ledger.Format() +
+  const std::string identity =
+    "# TYPE plantainslip_instance_info gauge\nplantainslip_instance_info{instance=" +
+    observe::QuoteLabel(aContext.instance.Text()) +
+    ",zone=" + observe::QuoteLabel(aContext.zone.Text()) + "} 1\n";
+  const std::string text = identity + aContext.ledger.Format() + aContext.deployments.Format() +
                            aContext.firstToken.Format("plantainslip_first_token_seconds") +
                            aContext.wholeAnswer.Format("plantainslip_whole_answer_seconds");
   aExchange.Respond(kOk, "text/plain; version=0.0.4", text);
