--- a/apps/controller/main.cpp
+++ b/apps/controller/main.cpp
@@ -4,8 +4,8 @@
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/platform/http_platform.hpp>
 
-#include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
+#include "../common/setting_checks.hpp"
 #include "../common/stop_signal.hpp"
 
 namespace {
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kPlatformTimeout = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds kEngineTimeout = std::chrono::seconds(2);
 
+constexpr int kStepsInLease = 3;
+
 struct Settings
 {
   std::string instance;
@@ -27,8 +29,12 @@
 void
 AddFlags(apps::CommandLine& aLine, Settings& aSettings)
 {
-  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")->required();
-  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")->required();
+  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
+  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
   aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
     ->required()
     ->check(&apps::CheckAddress);
@@ -36,6 +42,14 @@
     ->check(CLI::Range(10, 60'000));
   aLine.Add("lease-ms", aSettings.leaseMs, "Duration of the zone's lease; milliseconds", "Control")
     ->check(CLI::Range(1'000, 600'000));
+  // A lease is renewed on each step, so it has to last over a step that failed and the next.
+  aLine.OnCheck([&aSettings]() -> std::string {
+    if (aSettings.leaseMs >= kStepsInLease * aSettings.intervalMs) {
+      return {};
+    }
+    return "--lease-ms: " + std::to_string(aSettings.leaseMs) + " is less than three times " +
+           "--interval-ms, " + std::to_string(aSettings.intervalMs);
+  });
 }
 
 int
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -9,8 +9,8 @@
 #include <plantainslip/platform/http_platform.hpp>
 #include <plantainslip/requests/dispatcher.hpp>
 
-#include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
+#include "../common/setting_checks.hpp"
 #include "../common/stop_signal.hpp"
 
 namespace {
@@ -29,7 +29,7 @@
   std::string host = "127.0.0.1";
   std::uint16_t port = 0;
   std::string platform;
-  std::string operatorKey;
+  apps::Secret operatorKey;
   unsigned threads = 256;
   int lingerMs = 0;
 };
@@ -37,16 +37,23 @@
 void
 AddFlags(apps::CommandLine& aLine, Settings& aSettings)
 {
-  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")->required();
-  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")->required();
-  aLine.Add("host", aSettings.host, "IP number to listen on", "Network");
+  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
+  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
+  aLine.Add("host", aSettings.host, "IP number to listen on", "Network")
+    ->check(&apps::CheckIpNumber);
   aLine.Add("port", aSettings.port, "Port to listen on; 0 takes a free one", "Network")
     ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
   aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
     ->required()
     ->check(&apps::CheckAddress);
-  aLine.Add(
-    "operator-key", aSettings.operatorKey, "Key that operators prove themselves with", "Security");
+  aLine.AddSecret("operator-key",
+                  aSettings.operatorKey,
+                  "Key that operators prove themselves with; without it all are refused",
+                  "Security");
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
@@ -70,7 +77,7 @@
   control::ViewBoard board;
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
-                                    .operatorKey = aSettings.operatorKey,
+                                    .operatorKey = aSettings.operatorKey.Reveal(),
                                     .clock = clock,
                                     .store = *store,
                                     .engines = *engines,
