--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -13,8 +13,8 @@
 #include <plantainslip/requests/dispatcher.hpp>
 #include <plantainslip/requests/spill_over.hpp>
 
-#include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
+#include "../common/setting_checks.hpp"
 #include "../common/stop_signal.hpp"
 
 namespace {
@@ -33,9 +33,9 @@
   std::string host = "127.0.0.1";
   std::uint16_t port = 0;
   std::string platform;
-  std::string operatorKey;
+  apps::Secret operatorKey;
   std::uint16_t peerPort = 0;
-  std::string peerKey;
+  apps::Secret peerKey;
   unsigned peerThreads = 64;
   unsigned threads = 256;
   int lingerMs = 0;
@@ -44,24 +44,31 @@
 void
 AddFlags(apps::CommandLine& aLine, Settings& aSettings)
 {
-  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")->required();
-  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")->required();
-  aLine.Add("host", aSettings.host, "IP number to listen on", "Network");
+  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
+  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
+  aLine.Add("host", aSettings.host, "IP number to listen on", "Network")
+    ->check(&apps::CheckIpNumber);
   aLine.Add("port", aSettings.port, "Port to listen on; 0 takes a free one", "Network")
     ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
   aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
     ->required()
     ->check(&apps::CheckAddress);
-  aLine.Add(
-    "operator-key", aSettings.operatorKey, "Key that operators prove themselves with", "Security");
+  aLine.AddSecret("operator-key",
+                  aSettings.operatorKey,
+                  "Key that operators prove themselves with; without it all are refused",
+                  "Security");
   aLine
     .Add(
       "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
     ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
-  aLine.Add("peer-key",
-            aSettings.peerKey,
-            "Key that peers prove themselves with; without it all are refused",
-            "Security");
+  aLine.AddSecret("peer-key",
+                  aSettings.peerKey,
+                  "Key that peers prove themselves with; without it all are refused",
+                  "Security");
   aLine
     .Add("peer-threads", aSettings.peerThreads, "Most peers' messages worked on at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
@@ -95,7 +102,7 @@
   peers::PeerServerOptions options;
   options.host = aSettings.host;
   options.port = aSettings.peerPort;
-  options.key = aSettings.peerKey;
+  options.key = aSettings.peerKey.Reveal();
   options.threads = aSettings.peerThreads;
   return peers::PeerServer::Create(options, std::move(aHandlers));
 }
@@ -109,7 +116,7 @@
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
-  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey);
+  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey.Reveal());
   control::ViewBoard board;
   const core::InstanceId self(aSettings.instance);
   const auto claimBook = claims::MakeSegmentClaimBook(
@@ -118,7 +125,7 @@
          } });
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
-                                    .operatorKey = aSettings.operatorKey,
+                                    .operatorKey = aSettings.operatorKey.Reveal(),
                                     .clock = clock,
                                     .store = *store,
                                     .engines = *engines,
@@ -128,6 +135,7 @@
                                     .board = board,
                                     .gate = {},
                                     .ledger = {},
+                                    .deployments = {},
                                     .firstToken = {},
                                     .wholeAnswer = {},
                                     .inFlight = {},
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -8,6 +8,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
 #include <plantainslip/peers/peer_client.hpp>
@@ -38,6 +39,7 @@
 
   DrainGate gate;
   observe::RequestLedger ledger;
+  observe::DeploymentMetrics deployments;
   observe::LatencyHistogram firstToken;
   observe::LatencyHistogram wholeAnswer;
   routing::InFlight inFlight;
