--- /dev/null
+++ b/include/plantainslip/membership/errors.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <plantainslip/core/error.hpp>
+
+/// @brief Errors of the membership layer, numbers 950 to 999.
+namespace plantainslip::membership::errors {
+
+/// @brief A datagram cannot be read or is not signed with the peers' key. Example: another system
+///        sends to the port.
+inline constexpr core::ErrorDescription kBadDatagram{ 951,
+                                                      "membership.bad_datagram",
+                                                      absl::StatusCode::kInvalidArgument };
+/// @brief The UDP port could not be opened. Example: another process has it.
+inline constexpr core::ErrorDescription kCannotListen{ 952,
+                                                       "membership.cannot_listen",
+                                                       absl::StatusCode::kUnavailable };
+
+} // namespace plantainslip::membership::errors
--- a/src/peers/peer_client.cpp
+++ b/src/peers/peer_client.cpp
@@ -1,7 +1,7 @@
 #include <plantainslip/peers/peer_client.hpp>
 
+#include <algorithm>
 #include <condition_variable>
-#include <cstring>
 #include <deque>
 #include <future>
 #include <map>
@@ -190,7 +190,7 @@
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
     const std::size_t bytes = std::min(aLength, exchange->body.size() - exchange->sentBytes);
-    std::memcpy(aBuffer, exchange->body.data() + exchange->sentBytes, bytes);
+    std::copy_n(exchange->body.data() + exchange->sentBytes, bytes, aBuffer);
     exchange->sentBytes += bytes;
     if (exchange->sentBytes == exchange->body.size()) {
       aFlags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -1,8 +1,8 @@
 #include <plantainslip/peers/peer_server.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
-#include <cstring>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -180,7 +180,7 @@
     }
     const std::scoped_lock lock(message->mutex);
     const std::size_t bytes = std::min(aLength, message->output.size());
-    std::memcpy(aBuffer, message->output.data(), bytes);
+    std::copy_n(message->output.data(), bytes, aBuffer);
     message->output.erase(0, bytes);
     message->drained.notify_all();
     if (message->output.empty() && message->ended) {
