--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -2,16 +2,20 @@
 
 #include <mutex>
 
+#include <plantainslip/admission/admission.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
 #include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/requests/drain_gate.hpp>
+#include <plantainslip/retries/retry_policy.hpp>
+#include <plantainslip/routing/engine_knowledge.hpp>
 #include <plantainslip/routing/in_flight.hpp>
 #include <plantainslip/targets/engine.hpp>
 #include <plantainslip/targets/plain_service.hpp>
@@ -35,12 +39,19 @@
 
   DrainGate gate;
   observe::RequestLedger ledger;
+  observe::DeploymentMetrics deployments;
   observe::LatencyHistogram firstToken;
   observe::LatencyHistogram wholeAnswer;
   routing::InFlight inFlight;
 
   std::mutex randomMutex;
   core::RandomSource random;
+
+  observe::LatencyHistogram betweenTokens{};
+  routing::EngineKnowledge knowledge{};
+  routing::RoutingOptions routing{};
+  admission::AdmissionOptions admission{};
+  retries::RetryBudget retryBudget{};
 };
 
 } // namespace plantainslip::requests
