Poll each engine from one instance of its zone and hand load records on

Cause: at the target size 59 instances would each poll 86 engines twice a second (5,074 polls a second a zone, about 86 KB/s for each daemon against a budget of 5 KB/s). Now the owner by rendezvous hashing polls; 14-byte records go to one random peer of the zone twice a second; an engine unheard of for 10 s, or whose identity changed, is polled directly. Also mended: a slow engine no longer gathers polls. Ruled out: records to all peers (grows with the square), full reports in gossip (200 bytes each).

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -83,9 +83,12 @@
 }
 
 peers::PeerHandlers
-MakePeerHandlers(requests::RequestContext& aContext)
+MakePeerHandlers(requests::RequestContext& aContext, control::ControlLoop& aLoop)
 {
   peers::PeerHandlers handlers;
+  handlers.calls[control::kLoadRecordsKind] = [&aLoop](const std::string& aBody) {
+    return aLoop.HandleLoadRecords(aBody);
+  };
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
@@ -141,15 +144,18 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
-  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
+  control::ControlLoopOptions controlOptions;
+  controlOptions.self = context.instance;
+  controlOptions.zone = context.zone;
+  const auto loop = control::ControlLoop::Start(
+    controlOptions,
+    { *store, *list, *engines, clock, &context.knowledge, peerClient.get() },
+    board);
+  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context, *loop));
   if (!peerServer.ok()) {
     std::cerr << peerServer.status().message() << "\n";
     return apps::kExitFailed;
   }
-  control::ControlLoopOptions controlOptions;
-  controlOptions.zone = context.zone;
-  const auto loop = control::ControlLoop::Start(
-    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
--- a/include/plantainslip/control/control_loop.hpp
+++ b/include/plantainslip/control/control_loop.hpp
@@ -7,6 +7,7 @@
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
+#include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/instance_list.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/targets/engine.hpp>
@@ -16,11 +17,14 @@
 /// @brief Settings of the control loop.
 struct ControlLoopOptions
 {
+  core::InstanceId self;
   core::ZoneId zone;
   /// @brief Time between two readings of the platform's list.
   std::chrono::milliseconds listInterval = std::chrono::seconds(1);
-  /// @brief Time between two reports of one engine.
-  std::chrono::milliseconds reportInterval = std::chrono::milliseconds(500);
+  /// @brief Time between two messages that hand engines' reports on to a peer.
+  std::chrono::milliseconds tellInterval = std::chrono::milliseconds(500);
+  /// @brief Time between two readings of one engine's cache events.
+  std::chrono::milliseconds eventInterval = std::chrono::milliseconds(500);
   /// @brief Longest wait of one watch of the configuration.
   std::chrono::milliseconds watchTimeout = std::chrono::seconds(5);
   /// @brief Time before the next call after the store failed.
@@ -36,8 +40,13 @@
   const core::Clock& clock;
   /// @brief Learns from the zone's engines on the control thread; may be null.
   EngineObserver* observer = nullptr;
+  /// @brief Way to the zone's other instances; null if there is none.
+  peers::PeerClient* peers = nullptr;
 };
 
+/// @brief Kind of the peers' message that hands engines' reports on.
+inline constexpr const char* kLoadRecordsKind = "load_records";
+
 /// @brief The one thread that owns an instance's control state and publishes views of it.
 class ControlLoop
 {
@@ -53,6 +62,11 @@
                                             ControlPorts aPorts,
                                             ViewBoard& aBoard);
 
+  /// @brief Answers a peer's #kLoadRecordsKind message. Safe from any thread.
+  /// @param aBody  records, as FormatLoadRecords() writes them
+  /// @return an empty answer, or error 951 (control.bad_message)
+  virtual absl::StatusOr<std::string> HandleLoadRecords(const std::string& aBody) = 0;
+
   /// @brief Stops the threads; waits for calls that are under way.
   virtual void Stop() = 0;
 };
--- a/include/plantainslip/control/report_exchange.hpp
+++ b/include/plantainslip/control/report_exchange.hpp
@@ -47,7 +47,8 @@
   void SetFleet(const std::vector<core::InstanceId>& aInstances,
                 const std::vector<core::TargetId>& aEngines);
 
-  /// @brief Gives the engines that this instance has to poll now, and counts them as being polled:
+  /// @brief Gives the engines that this instance has to poll now, and counts them as being polled
+  ///        until AdoptPolled() or AdoptUnreachable() is called for them:
   ///        its own ones that are due, those whose report is too old, and those whose records tell
   ///        of a change that this instance has not read yet.
   std::vector<core::TargetId> TakeDuePolls(core::MonotonicTime aNow);
@@ -86,6 +87,8 @@
     /// @brief Whether a record tells of another identity than the report has.
     bool outdated = false;
     core::MonotonicTime pollAt;
+    /// @brief Whether a poll is under way, so that a slow engine does not gather polls.
+    bool polling = false;
   };
 
   Engine* FindEngine(std::uint32_t aHash);
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -1,5 +1,6 @@
 #include <plantainslip/control/control_loop.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -9,8 +10,10 @@
 #include <boost/asio/thread_pool.hpp>
 
 #include <plantainslip/config/record.hpp>
+#include <plantainslip/control/report_exchange.hpp>
 #include <plantainslip/control/view_builder.hpp>
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/core/random.hpp>
 
 namespace plantainslip::control {
 
@@ -18,7 +21,9 @@
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kCallThreads = 4;
+constexpr std::size_t kCallThreads = 8;
+constexpr std::chrono::milliseconds kPollTick(100);
+constexpr std::chrono::milliseconds kTellTimeout(500);
 
 class AsioControlLoop final : public ControlLoop
 {
@@ -27,15 +32,21 @@
     : options(std::move(aOptions))
     , ports(aPorts)
     , board(aBoard)
+    , exchange(this->options.self, {})
+    , random(core::MakeSeed())
     , calls(kCallThreads)
     , work(asio::make_work_guard(context))
     , listTimer(context)
-    , reportTimer(context)
+    , pollTimer(context)
+    , tellTimer(context)
+    , eventTimer(context)
     , watchTimer(context)
   {
     asio::post(this->context, [this] { this->ReadList(); });
     asio::post(this->context, [this] { this->WatchConfiguration(); });
-    asio::post(this->context, [this] { this->ReadReports(); });
+    asio::post(this->context, [this] { this->PollEngines(); });
+    asio::post(this->context, [this] { this->TellReports(); });
+    asio::post(this->context, [this] { this->ReadAllCacheEvents(); });
     this->thread = std::thread([this] { this->context.run(); });
   }
 
@@ -52,6 +63,16 @@
     this->calls.join();
   }
 
+  absl::StatusOr<std::string> HandleLoadRecords(const std::string& aBody) override
+  {
+    auto records = ParseLoadRecords(aBody);
+    if (!records.ok()) {
+      return records.status();
+    }
+    asio::post(this->context, [this, taken = *std::move(records)] { this->TakeRecords(taken); });
+    return std::string();
+  }
+
 private:
   // Blocking calls run on the pool; their results come back to the control thread.
   template<typename Call, typename Then>
@@ -85,6 +106,7 @@
                      if (aList.ok()) {
                        this->builder.AdoptList(*std::move(aList));
                        this->Publish();
+                       this->ShareEngines();
                      }
                      this->After(
                        this->listTimer, this->options.listInterval, [this] { this->ReadList(); });
@@ -135,32 +157,114 @@
     }
   }
 
-  void ReadReports()
+  void PollEngines()
   {
-    for (const EngineView& engine : this->board.Current()->engines) {
-      if (engine.zone == this->options.zone) {
-        this->ReadReport(engine);
-        this->ReadCacheEvents(engine);
+    for (const core::TargetId& target : this->exchange.TakeDuePolls(this->ports.clock.Now())) {
+      const auto view = this->board.Current();
+      const auto engine =
+        std::find_if(view->engines.begin(), view->engines.end(), [&](const EngineView& aEngine) {
+          return aEngine.target == target;
+        });
+      if (engine != view->engines.end()) {
+        this->ReadReport(*engine);
       }
     }
-    this->After(this->reportTimer, this->options.reportInterval, [this] { this->ReadReports(); });
+    this->After(this->pollTimer, kPollTick, [this] { this->PollEngines(); });
   }
 
   void ReadReport(const EngineView& aEngine)
   {
     this->CallThen(
       [this, address = aEngine.address] { return this->ports.engines.ReadReport(address); },
-      [this, target = aEngine.target](absl::StatusOr<targets::EngineReport> aReport) {
+      [this, target = aEngine.target](const absl::StatusOr<targets::EngineReport>& aReport) {
+        const core::MonotonicTime now = this->ports.clock.Now();
         this->Observe(target, aReport);
         if (aReport.ok()) {
-          this->builder.AdoptReport(target, *std::move(aReport), this->ports.clock.Now());
+          this->exchange.AdoptPolled(target, *aReport, now);
         } else {
-          this->builder.ForgetReport(target);
+          this->exchange.AdoptUnreachable(target, now);
         }
-        this->Publish();
+        this->PublishReports();
       });
   }
 
+  void TakeRecords(const std::vector<LoadRecord>& aRecords)
+  {
+    if (this->exchange.AdoptRecords(aRecords, this->ports.clock.Now())) {
+      this->PublishReports();
+    }
+  }
+
+  // One peer at random in each interval: the cost of an instance does not grow with their number.
+  void TellReports()
+  {
+    const std::vector<EntryView> peers = this->PeersOfZone();
+    if (!peers.empty()) {
+      const EntryView& peer = peers[this->random.Below(peers.size())];
+      const std::string body =
+        FormatLoadRecords(this->exchange.MakeRecords(this->ports.clock.Now()));
+      this->CallThen(
+        [this, address = peer.peerAddress, body] {
+          return this->ports.peers->Call(address, kLoadRecordsKind, body, kTellTimeout);
+        },
+        [](const absl::StatusOr<std::string>& /*aAnswer*/) {});
+    }
+    this->After(this->tellTimer, this->options.tellInterval, [this] { this->TellReports(); });
+  }
+
+  std::vector<EntryView> PeersOfZone() const
+  {
+    std::vector<EntryView> peers;
+    for (const EntryView& entry : this->board.Current()->entries) {
+      const bool reachable = this->ports.peers != nullptr && entry.peerAddress.port != 0;
+      if (reachable && entry.zone == this->options.zone && entry.instance != this->options.self) {
+        peers.push_back(entry);
+      }
+    }
+    return peers;
+  }
+
+  void ShareEngines()
+  {
+    std::vector<core::InstanceId> instances;
+    for (const EntryView& entry : this->PeersOfZone()) {
+      if (!entry.leaving) {
+        instances.push_back(entry.instance);
+      }
+    }
+    std::vector<core::TargetId> engines;
+    for (const EngineView& engine : this->board.Current()->engines) {
+      if (engine.zone == this->options.zone) {
+        engines.push_back(engine.target);
+      }
+    }
+    this->exchange.SetFleet(instances, engines);
+  }
+
+  void PublishReports()
+  {
+    for (const EngineView& engine : this->board.Current()->engines) {
+      auto known = this->exchange.Find(engine.target);
+      if (known.has_value()) {
+        this->builder.AdoptReport(engine.target, std::move(known->report), known->reportedAt);
+      } else {
+        this->builder.ForgetReport(engine.target);
+      }
+    }
+    this->Publish();
+  }
+
+  void ReadAllCacheEvents()
+  {
+    for (const EngineView& engine : this->board.Current()->engines) {
+      if (engine.zone == this->options.zone) {
+        this->ReadCacheEvents(engine);
+      }
+    }
+    this->After(
+      this->eventTimer, this->options.eventInterval, [this] { this->ReadAllCacheEvents(); });
+  }
+
   void Observe(const core::TargetId& aTarget, const absl::StatusOr<targets::EngineReport>& aReport)
   {
     if (this->ports.observer == nullptr) {
@@ -196,13 +300,17 @@
   ControlPorts ports;
   ViewBoard& board;
   ViewBuilder builder;
+  ReportExchange exchange;
+  core::RandomSource random;
   core::Revision configurationRevision;
   std::atomic<bool> stopping = false;
   asio::io_context context;
   asio::thread_pool calls;
   asio::executor_work_guard<asio::io_context::executor_type> work;
   asio::steady_timer listTimer;
-  asio::steady_timer reportTimer;
+  asio::steady_timer pollTimer;
+  asio::steady_timer tellTimer;
+  asio::steady_timer eventTimer;
   asio::steady_timer watchTimer;
   std::thread thread;
 };
--- a/src/control/report_exchange.cpp
+++ b/src/control/report_exchange.cpp
@@ -55,7 +55,8 @@
   for (auto& [hash, engine] : this->engines) {
     const bool stale = !engine.known || aNow - engine.reportedAt > this->options.staleAge;
     const bool wanted = engine.owned || stale || engine.outdated;
-    if (wanted && aNow >= engine.pollAt) {
+    if (wanted && !engine.polling && aNow >= engine.pollAt) {
+      engine.polling = true;
       engine.pollAt = aNow + this->options.pollInterval;
       due.push_back(engine.target);
     }
@@ -77,6 +78,7 @@
   engine->reportedAt = aNow;
   engine->known = true;
   engine->outdated = false;
+  engine->polling = false;
 }
 
 void
@@ -91,6 +93,7 @@
   engine->reportedAt = aNow;
   engine->known = true;
   engine->outdated = false;
+  engine->polling = false;
 }
 
 bool
--- a/tests/src/unit-report-exchange.cpp
+++ b/tests/src/unit-report-exchange.cpp
@@ -137,11 +137,26 @@
     exchange.AdoptPolled(engine, Report(0), clock.Now());
   }
   clock.Advance(std::chrono::seconds(1));
-  CHECK(exchange.TakeDuePolls(clock.Now()).size() < 20);
+  for (const core::TargetId& engine : exchange.TakeDuePolls(clock.Now())) {
+    CHECK(exchange.Owns(engine));
+    exchange.AdoptPolled(engine, Report(0), clock.Now());
+  }
   clock.Advance(std::chrono::seconds(11));
   CHECK(exchange.TakeDuePolls(clock.Now()).size() == 20);
 }
 
+TEST_CASE("an engine that does not answer gathers no polls")
+{
+  core::ManualClock clock;
+  ReportExchange exchange(core::InstanceId("entry-0"), {});
+  exchange.SetFleet({}, Engines(1));
+  CHECK(exchange.TakeDuePolls(clock.Now()).size() == 1);
+  clock.Advance(std::chrono::seconds(60));
+  CHECK(exchange.TakeDuePolls(clock.Now()).empty());
+  exchange.AdoptUnreachable(Engines(1)[0], clock.Now());
+  CHECK(exchange.TakeDuePolls(clock.Now()).size() == 1);
+}
+
 TEST_CASE("load records are read as they were written, and a cut message is refused")
 {
   CHECK(rc::check("records", [](std::uint32_t aTarget, std::uint16_t aRunning, std::uint8_t aAge) {
