--- a/include/plantainslip/control/engine_observer.hpp
+++ b/include/plantainslip/control/engine_observer.hpp
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/targets/engine.hpp>
 
@@ -17,7 +18,8 @@
   virtual void OnReport(const core::TargetId& aTarget, const targets::EngineReport& aReport) = 0;
   /// @brief Takes an engine's cache events, in order.
   virtual void OnCacheEvents(const core::TargetId& aTarget,
-                             const std::vector<targets::CacheEvent>& aEvents) = 0;
+                             const std::vector<targets::CacheEvent>& aEvents,
+                             core::MonotonicTime aNow) = 0;
   /// @brief Is told that an engine cannot be reached.
   virtual void OnLost(const core::TargetId& aTarget) = 0;
   /// @brief Gives the sequence of the newest cache event that was taken; zero if there is none.
--- a/include/plantainslip/routing/capacity_book.hpp
+++ b/include/plantainslip/routing/capacity_book.hpp
@@ -55,6 +55,14 @@
   /// @brief Takes the figures of an attempt, as a moving average.
   void AddAttempt(const core::TargetId& aTarget, const FinishedAttempt& aAttempt);
 
+  /// @brief Takes how long a request waited for its slot, or for how long it waited in vain.
+  /// @param aPriority  of [-10, 10]; engines work on higher ones first, so lower ones wait longer
+  /// @param aExpected  the wait that was expected; expectations of zero teach nothing
+  void AddWait(int aPriority, Seconds aExpected, Seconds aObserved);
+
+  /// @brief Gives by how much waits of a priority exceed those expected from the queue's length.
+  double WaitFactor(int aPriority) const;
+
   /// @brief Gives what is known of an engine; for an unknown one, the defaults.
   EngineCapacity Of(const core::TargetId& aTarget) const;
 
@@ -67,6 +75,7 @@
 
   mutable std::mutex mutex;
   std::map<core::TargetId, Learned> engines;
+  std::map<int, double> waitFactors;
 };
 
 } // namespace plantainslip::routing
--- a/include/plantainslip/routing/choose_target.hpp
+++ b/include/plantainslip/routing/choose_target.hpp
@@ -25,6 +25,8 @@
   std::string version;
   const std::string& prompt;
   core::TokenCount maxTokens;
+  /// @brief From -10 to 10; higher goes first.
+  int priority = 0;
   /// @brief Targets that already failed this request.
   std::set<core::TargetId> excluded;
 };
@@ -34,12 +36,15 @@
 {
   /// @brief How much older a report's figures are than the report's arrival.
   std::chrono::milliseconds reportLag = std::chrono::milliseconds(500);
+  /// @brief Whether a report is corrected by what all instances of the zone are likely to have sent
+  ///        since, and not by this instance's own requests alone.
+  bool countsPeers = true;
   /// @brief Engines without any of the prompt's pieces that are looked at, drawn at random; bounds
   ///        how many instances rush to the same engine between two reports.
   std::size_t sampledEngines = 2;
   /// @brief Share of the prefill time by which the first engine by rendezvous hashing is preferred,
   ///        so that instances agree on where a new prefix goes.
-  double homePreference = 0.1;
+  double homePreference = 0.8;
   /// @brief Share of the mismatched phase's time that an engine of the other role costs more.
   double roleMismatch = 0.5;
 };
@@ -61,7 +66,9 @@
   EngineCapacity capacity;
   /// @brief Requests in work or waiting there: the report, corrected by what was sent since.
   double outstanding = 0.0;
-  /// @brief Expected time until a slot is free.
+  /// @brief Time until a slot is free, by the queue's length alone.
+  Seconds queueWait{ 0.0 };
+  /// @brief Expected time until a slot is free for a request of this priority.
   Seconds wait{ 0.0 };
   /// @brief Prompt tokens that the engine is believed not to hold.
   core::TokenCount uncached;
--- a/include/plantainslip/routing/engine_knowledge.hpp
+++ b/include/plantainslip/routing/engine_knowledge.hpp
@@ -17,9 +17,10 @@
   }
 
   void OnCacheEvents(const core::TargetId& aTarget,
-                     const std::vector<targets::CacheEvent>& aEvents) override
+                     const std::vector<targets::CacheEvent>& aEvents,
+                     core::MonotonicTime aNow) override
   {
-    this->prefixes.Adopt(aTarget, aEvents);
+    this->prefixes.Adopt(aTarget, aEvents, aNow);
   }
 
   void OnLost(const core::TargetId& aTarget) override { this->prefixes.Forget(aTarget); }
--- a/include/plantainslip/routing/prefix_index.hpp
+++ b/include/plantainslip/routing/prefix_index.hpp
@@ -15,8 +15,8 @@
 /// @brief What this instance believes that each engine holds in its prefix cache.
 ///
 /// Cache events confirm and remove pieces. Since they come late, the pieces of a request that was
-/// just sent to an engine count as held for a while. Events may have been lost: a gap in their
-/// sequence drops everything that was confirmed for that engine.
+/// just sent to an engine count as held for a while. Events may have been lost: after a gap in
+/// their sequence, nothing is confirmed any more, and what was counts as held for the same while.
 /// @note Safe from any thread; no errors.
 class PrefixIndex
 {
@@ -24,7 +24,9 @@
   /// @brief Takes an engine's events in the order of their sequence. Linear in their number; a gap
   ///        costs time linear in the pieces known of the engine.
   /// @return whether the events show a gap
-  bool Adopt(const core::TargetId& aTarget, const std::vector<targets::CacheEvent>& aEvents);
+  bool Adopt(const core::TargetId& aTarget,
+             const std::vector<targets::CacheEvent>& aEvents,
+             core::MonotonicTime aNow);
 
   /// @brief Notes that a request with these pieces was sent to an engine. Linear in their number.
   void Expect(const core::TargetId& aTarget,
@@ -58,7 +60,7 @@
     std::deque<Expectation> expectations;
   };
 
-  static bool DropConfirmed(EngineCache& aCache);
+  static void DoubtConfirmed(EngineCache& aCache, core::MonotonicTime aNow);
   static void DropExpired(EngineCache& aCache, core::MonotonicTime aNow);
 
   mutable std::shared_mutex mutex;
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -185,7 +185,7 @@
       },
       [this, target = aEngine.target](absl::StatusOr<std::vector<targets::CacheEvent>> aEvents) {
         if (aEvents.ok()) {
-          this->ports.observer->OnCacheEvents(target, *aEvents);
+          this->ports.observer->OnCacheEvents(target, *aEvents, this->ports.clock.Now());
         }
       });
   }
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -169,6 +169,9 @@
     const AttemptEnd end =
       this->RunAttempt(this->context.engines.Generate(engine.address, this->MakeAttempt(engine)));
     this->context.inFlight.Remove(engine.target, this->context.clock.Now());
+    if (end != AttemptEnd::kFailed || this->times.tokens > 0) {
+      this->TeachWait(aRanked);
+    }
     if (end == AttemptEnd::kFinished) {
       this->TeachCapacity(aRanked);
     } else if (end == AttemptEnd::kFailed) {
@@ -268,6 +271,16 @@
     return this->sink.Text(aChunk.offset, aChunk.text);
   }
 
+  // An attempt without a first token has waited until now, at the least.
+  void TeachWait(const routing::RankedEngine& aRanked)
+  {
+    const bool begun = this->times.tokens > 0;
+    const core::MonotonicTime until = begun ? this->times.firstTokenAt : this->context.clock.Now();
+    const routing::Seconds prefill = aRanked.cost - aRanked.wait;
+    const routing::Seconds waited = until - this->times.begunAt - prefill;
+    this->context.knowledge.capacity.AddWait(this->request.priority, aRanked.queueWait, waited);
+  }
+
   void TeachCapacity(const routing::RankedEngine& aRanked)
   {
     if (this->times.tokens == 0) {
--- a/src/requests/placement.cpp
+++ b/src/requests/placement.cpp
@@ -24,9 +24,9 @@
 {
   const core::MonotonicTime now = aContext.clock.Now();
   const CompletionRequest& request = aQuery.request;
-  const routing::EngineQuery query{ aContext.zone,       request.deployment, request.adapter,
-                                    aQuery.version,      request.prompt,     request.maxTokens,
-                                    aQuery.failedEngines };
+  const routing::EngineQuery query{ aContext.zone,    request.deployment,  request.adapter,
+                                    aQuery.version,   request.prompt,      request.maxTokens,
+                                    request.priority, aQuery.failedEngines };
   const routing::RoutingInputs inputs{ aContext.inFlight,
                                        aContext.knowledge.prefixes,
                                        aContext.knowledge.capacity,
--- a/src/routing/capacity_book.cpp
+++ b/src/routing/capacity_book.cpp
@@ -9,6 +9,8 @@
 // Weight of the newest attempt once the average has settled.
 constexpr double kNewestWeight = 0.05;
 constexpr double kFewestSlots = 1.0;
+constexpr double kLeastWaitFactor = 0.25;
+constexpr double kMostWaitFactor = 8.0;
 // Below this length the fixed costs of a call hide the speed of prefill.
 constexpr double kFewestPrefillTokens = 500.0;
 constexpr Seconds kShortestPrefill(1e-3);
@@ -56,6 +58,26 @@
   }
 }
 
+void
+CapacityBook::AddWait(int aPriority, Seconds aExpected, Seconds aObserved)
+{
+  if (aExpected <= Seconds(0.0)) {
+    return;
+  }
+  const std::scoped_lock lock(this->mutex);
+  double& factor = this->waitFactors.try_emplace(aPriority, 1.0).first->second;
+  const double observed = std::clamp(aObserved / aExpected, kLeastWaitFactor, kMostWaitFactor);
+  MoveTowards(factor, observed, kNewestWeight);
+}
+
+double
+CapacityBook::WaitFactor(int aPriority) const
+{
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->waitFactors.find(aPriority);
+  return found == this->waitFactors.end() ? 1.0 : found->second;
+}
+
 EngineCapacity
 CapacityBook::Of(const core::TargetId& aTarget) const
 {
--- a/src/routing/prefix_index.cpp
+++ b/src/routing/prefix_index.cpp
@@ -11,11 +11,16 @@
 
 } // namespace
 
-bool
-PrefixIndex::DropConfirmed(EngineCache& aCache)
+void
+PrefixIndex::DoubtConfirmed(EngineCache& aCache, core::MonotonicTime aNow)
 {
-  std::erase_if(aCache.heldUntil, [](const auto& aHeld) { return aHeld.second == kConfirmed; });
-  return true;
+  const core::MonotonicTime until = aNow + kExpectationTime;
+  for (auto& [piece, heldUntil] : aCache.heldUntil) {
+    if (heldUntil == kConfirmed) {
+      heldUntil = until;
+      aCache.expectations.push_back({ until, piece });
+    }
+  }
 }
 
 void
@@ -31,17 +36,21 @@
 }
 
 bool
-PrefixIndex::Adopt(const core::TargetId& aTarget, const std::vector<targets::CacheEvent>& aEvents)
+PrefixIndex::Adopt(const core::TargetId& aTarget,
+                   const std::vector<targets::CacheEvent>& aEvents,
+                   core::MonotonicTime aNow)
 {
   const std::scoped_lock lock(this->mutex);
   EngineCache& cache = this->engines[aTarget];
   bool gap = false;
+  DropExpired(cache, aNow);
   for (const targets::CacheEvent& event : aEvents) {
     if (event.sequence <= cache.newestSequence) {
       continue;
     }
     if (event.sequence != cache.newestSequence + 1) {
-      gap = DropConfirmed(cache);
+      gap = true;
+      DoubtConfirmed(cache, aNow);
     }
     cache.newestSequence = event.sequence;
     if (event.stored) {
--- a/src/routing/rank_engines.cpp
+++ b/src/routing/rank_engines.cpp
@@ -37,15 +37,26 @@
          !aQuery.excluded.contains(aEngine.target);
 }
 
+// The balancer spreads callers evenly, so the zone's other instances send about as much.
+double
+CountInstances(const control::FleetView& aView, const core::ZoneId& aZone)
+{
+  const auto count =
+    std::count_if(aView.entries.begin(), aView.entries.end(), [&](const auto& aEntry) {
+      return aEntry.zone == aZone && !aEntry.leaving;
+    });
+  return std::max(1.0, static_cast<double>(count));
+}
+
 // A report shows the load of some time ago, and other requests were sent and have ended since.
 double
-EstimateOutstanding(const EngineView& aEngine, const RoutingInputs& aInputs)
+EstimateOutstanding(const EngineView& aEngine, const RoutingInputs& aInputs, double aInstances)
 {
   const core::MonotonicTime seen = aEngine.reportedAt - aInputs.options.reportLag;
   const auto reported = static_cast<double>(aEngine.report->running + aEngine.report->queued);
   const auto change = static_cast<double>(aInputs.inFlight.ChangeSince(aEngine.target, seen));
   const auto own = static_cast<double>(aInputs.inFlight.Count(aEngine.target));
-  return std::max(reported + change, own);
+  return std::max(reported + change * aInstances, own);
 }
 
 // A prefill engine is slow at decoding and a decode engine at prefill.
@@ -93,16 +104,18 @@
 Estimate(const EngineView& aEngine,
          const EngineQuery& aQuery,
          const RoutingInputs& aInputs,
+         double aInstances,
          const std::vector<std::uint64_t>& aPieces)
 {
   RankedEngine ranked;
   ranked.engine = aEngine;
   ranked.pieces = aPieces;
   ranked.capacity = aInputs.capacity.Of(aEngine.target);
-  ranked.outstanding = EstimateOutstanding(aEngine, aInputs);
+  ranked.outstanding = EstimateOutstanding(aEngine, aInputs, aInstances);
   const double slots = ranked.capacity.slots;
   const double ahead = std::max(0.0, ranked.outstanding + 1.0 - slots);
-  ranked.wait = ranked.capacity.attempt * (ahead / slots);
+  ranked.queueWait = ranked.capacity.attempt * (ahead / slots);
+  ranked.wait = ranked.queueWait * aInputs.capacity.WaitFactor(aQuery.priority);
   const std::uint64_t held =
     aInputs.prefixes.CountHeld(aEngine.target, aPieces, aInputs.now) * kPieceTokens;
   const std::uint64_t tokens = EstimateTokens(aQuery.prompt).Number();
@@ -179,10 +192,11 @@
     return core::MakeError(errors::kUnknownName, aQuery.deployment.Text());
   }
   PieceCache pieces(aQuery);
+  const double instances = aInputs.options.countsPeers ? CountInstances(aView, aQuery.zone) : 1.0;
   std::vector<RankedEngine> engines;
   for (const EngineView& engine : aView.engines) {
     if (CanServe(engine, aQuery, deployment->second)) {
-      engines.push_back(Estimate(engine, aQuery, aInputs, pieces.Of(*engine.report)));
+      engines.push_back(Estimate(engine, aQuery, aInputs, instances, pieces.Of(*engine.report)));
     }
   }
   if (engines.empty()) {
