--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -8,6 +8,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
 #include <plantainslip/peers/peer_client.hpp>
@@ -33,10 +34,12 @@
   targets::EngineClient& engines;
   targets::ServiceClient& services;
   claims::ClaimBook& claims;
+  peers::PeerClient& peers;
   control::ViewBoard& board;
 
   DrainGate gate;
   observe::RequestLedger ledger;
+  observe::DeploymentMetrics deployments;
   observe::LatencyHistogram firstToken;
   observe::LatencyHistogram wholeAnswer;
   routing::InFlight inFlight;
@@ -49,8 +52,6 @@
   routing::RoutingOptions routing{};
   admission::AdmissionOptions admission{};
   retries::RetryBudget retryBudget{};
-  /// @brief Way to instances of other zones; null if requests are never spilled over.
-  peers::PeerClient* peers = nullptr;
 };
 
 } // namespace plantainslip::requests
