Let callers resume a cut answer at another entry instance

Cause: when an entry instance is killed in mid-stream its caller kept half an answer and had to ask for all of it again.

Change: a streamed answer gives its caller a signed token (header X-Resume-Token, and the field `resume` of the first piece). A resumed answer has a request identifier of its own, so pieces of the former attempts cannot cross with it.

Ruled out: a token in each event's id, since it costs some 200 bytes a token; the offset is the event's id already.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -31,6 +31,7 @@
   std::uint16_t port = 0;
   std::string platform;
   std::string operatorKey;
+  std::string resumeKey;
   unsigned threads = 256;
   int lingerMs = 0;
 };
@@ -48,6 +49,10 @@
     ->check(&apps::CheckAddress);
   aLine.Add(
     "operator-key", aSettings.operatorKey, "Key that operators prove themselves with", "Security");
+  aLine.Add("resume-key",
+            aSettings.resumeKey,
+            "Key of all instances that signs resume tokens; empty issues none",
+            "Security");
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
@@ -82,6 +87,7 @@
                                     .services = *services,
                                     .claims = *claimBook,
                                     .board = board,
+                                    .resume = requests::ResumeSigner(aSettings.resumeKey),
                                     .gate = {},
                                     .ledger = {},
                                     .firstToken = {},
--- a/include/plantainslip/requests/completion_request.hpp
+++ b/include/plantainslip/requests/completion_request.hpp
@@ -21,6 +21,12 @@
   /// @brief From -10 to 10; higher goes first.
   int priority = 0;
   core::WorkspaceId workspace;
+  /// @brief Token of an answer that was cut, or empty to begin a new one.
+  std::string resume;
+  /// @brief With a token: position of the first token that the caller does not have.
+  core::TokenOffset resumeOffset;
+  /// @brief Version that a resumed answer began in; empty for a new one.
+  std::string version;
   /// @brief Longest time for the whole answer.
   std::chrono::milliseconds deadline{ 0 };
 };
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -11,6 +11,7 @@
 #include <plantainslip/observe/request_ledger.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/requests/drain_gate.hpp>
+#include <plantainslip/requests/resume_token.hpp>
 #include <plantainslip/routing/in_flight.hpp>
 #include <plantainslip/targets/engine.hpp>
 #include <plantainslip/targets/plain_service.hpp>
@@ -30,6 +31,8 @@
   targets::ServiceClient& services;
   claims::ClaimBook& claims;
   control::ViewBoard& board;
+  /// @brief Signs tokens by which callers go on with cut answers.
+  ResumeSigner resume;
 
   DrainGate gate;
   observe::RequestLedger ledger;
--- a/include/plantainslip/requests/errors.hpp
+++ b/include/plantainslip/requests/errors.hpp
@@ -33,5 +33,15 @@
 inline constexpr core::ErrorDescription kTooLarge{ 707,
                                                    "requests.too_large",
                                                    absl::StatusCode::kOutOfRange };
+/// @brief The resume token is not one of ours, or belongs to another request. Example: a token with
+///        another prompt.
+inline constexpr core::ErrorDescription kBadResume{ 710,
+                                                    "requests.bad_resume",
+                                                    absl::StatusCode::kInvalidArgument };
+/// @brief The answer cannot be gone on with, since no engine has its version any more. Example: the
+///        deployment was moved to a new version meanwhile.
+inline constexpr core::ErrorDescription kVersionGone{ 711,
+                                                      "requests.version_gone",
+                                                      absl::StatusCode::kNotFound };
 
 } // namespace plantainslip::requests::errors
--- a/src/requests/answer_sink.cpp
+++ b/src/requests/answer_sink.cpp
@@ -40,11 +40,16 @@
   {
   }
 
+  void OfferResume(std::string aToken) override { this->resume = std::move(aToken); }
+
   bool Text(core::TokenOffset aOffset, const std::string& aText) override
   {
+    ordered_json piece = MakeCompletion(this->request, this->model, aText, nullptr);
+    if (!this->begun && !this->resume.empty()) {
+      piece["resume"] = this->resume;
+    }
     const std::string event =
-      "id: " + std::to_string(aOffset.Number()) +
-      "\ndata: " + Dump(MakeCompletion(this->request, this->model, aText, nullptr)) + "\n\n";
+      "id: " + std::to_string(aOffset.Number()) + "\ndata: " + Dump(piece) + "\n\n";
     return this->Begin() && this->exchange.SendChunk(event);
   }
 
@@ -72,13 +77,17 @@
       return true;
     }
     this->begun = true;
-    return this->exchange.BeginStream(
-      kOk, "text/event-stream", { { "X-Request-Id", this->request.Text() } });
+    std::vector<net::Header> headers = { { "X-Request-Id", this->request.Text() } };
+    if (!this->resume.empty()) {
+      headers.push_back({ "X-Resume-Token", this->resume });
+    }
+    return this->exchange.BeginStream(kOk, "text/event-stream", headers);
   }
 
   net::HttpExchange& exchange;
   core::RequestId request;
   std::string model;
+  std::string resume;
   bool begun = false;
 };
 
--- a/src/requests/completion_request.cpp
+++ b/src/requests/completion_request.cpp
@@ -17,6 +17,7 @@
 constexpr std::int64_t kDefaultDeadlineMs = 600'000;
 constexpr std::int64_t kMostDeadlineMs = 3'600'000;
 constexpr std::size_t kLongestNameBytes = 200;
+constexpr std::size_t kLongestResumeBytes = 4096;
 constexpr int kDeepestNesting = 32;
 
 absl::Status
@@ -88,7 +89,8 @@
   const auto adapter = ReadText(aBody, "adapter", kLongestNameBytes);
   const auto workspace = ReadText(aBody, "workspace", kLongestNameBytes);
   const auto prompt = ReadText(aBody, "prompt", kLargestCompletionBytes);
-  for (const auto* field : { &model, &adapter, &workspace, &prompt }) {
+  const auto resume = ReadText(aBody, "resume", kLongestResumeBytes);
+  for (const auto* field : { &model, &adapter, &workspace, &prompt, &resume }) {
     if (!field->ok()) {
       return field->status();
     }
@@ -97,6 +99,7 @@
   aRequest.adapter = *adapter;
   aRequest.workspace = core::WorkspaceId(*workspace);
   aRequest.prompt = *prompt;
+  aRequest.resume = *resume;
   return absl::OkStatus();
 }
 
@@ -106,13 +109,15 @@
   const auto tokens = ReadNumber(aBody, "max_tokens", kDefaultMaxTokens, 1, kMostTokens);
   const auto priority = ReadNumber(aBody, "priority", 0, kLeastPriority, kMostPriority);
   const auto deadline = ReadNumber(aBody, "deadline_ms", kDefaultDeadlineMs, 1, kMostDeadlineMs);
-  for (const auto* field : { &tokens, &priority, &deadline }) {
+  const auto offset = ReadNumber(aBody, "resume_offset", 0, 0, kMostTokens);
+  for (const auto* field : { &tokens, &priority, &deadline, &offset }) {
     if (!field->ok()) {
       return field->status();
     }
   }
   aRequest.maxTokens = core::TokenCount(static_cast<std::uint64_t>(*tokens));
   aRequest.priority = static_cast<int>(*priority);
+  aRequest.resumeOffset = core::TokenOffset(static_cast<std::uint64_t>(*offset));
   aRequest.deadline = std::chrono::milliseconds(*deadline);
   return absl::OkStatus();
 }
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -8,6 +8,7 @@
 #include <plantainslip/requests/answer_sink.hpp>
 #include <plantainslip/requests/completion_request.hpp>
 #include <plantainslip/requests/errors.hpp>
+#include <plantainslip/requests/resume_token.hpp>
 #include <plantainslip/routing/choose_target.hpp>
 #include <plantainslip/routing/errors.hpp>
 #include <plantainslip/targets/errors.hpp>
@@ -40,8 +41,9 @@
     , request(aRequest)
     , requestId(aRequestId)
     , sink(aSink)
-    , assembly(std::move(aRequestId), core::TokenOffset())
+    , assembly(std::move(aRequestId), aRequest.resumeOffset)
     , begunAt(aContext.clock.Now())
+    , version(aRequest.version)
   {
   }
 
@@ -122,6 +124,8 @@
       this->RememberFailure(stream.status());
       return AttemptEnd::kFailed;
     }
+    this->sink.OfferResume(this->context.resume.SignFor(
+      this->request, { this->requestId, aEngine.report->model, this->version, aEngine.target, 0 }));
     for (;;) {
       const auto chunk = (*stream)->Next();
       if (!chunk.ok()) {
@@ -213,9 +217,12 @@
                  net::HttpExchange& aExchange,
                  const core::RequestId& aRequest)
 {
-  const auto request = ReadRequest(aExchange);
-  if (!request.ok()) {
-    const Problem problem{ request.status(), core::Outcome::kNotRun, aRequest };
+  auto request = ReadRequest(aExchange);
+  const absl::Status usable =
+    request.ok() ? PrepareResume(aContext.resume, *aContext.board.Current(), *request)
+                 : request.status();
+  if (!usable.ok()) {
+    const Problem problem{ usable, core::Outcome::kNotRun, aRequest };
     return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
   }
   const std::string model = request->deployment.Text();
--- /dev/null
+++ b/src/requests/resume_token.cpp
@@ -0,0 +1,138 @@
+#include <plantainslip/requests/resume_token.hpp>
+
+#include <algorithm>
+#include <array>
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+#include <xxhash.h>
+
+#include <plantainslip/requests/errors.hpp>
+
+namespace plantainslip::requests {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kSignatureBytes = 32;
+constexpr std::size_t kLongestToken = 4096;
+
+std::string
+SignatureOf(const std::string& aKey, const std::string& aPayload)
+{
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned length = 0;
+  HMAC(EVP_sha256(),
+       aKey.data(),
+       static_cast<int>(aKey.size()),
+       reinterpret_cast<const unsigned char*>(aPayload.data()),
+       aPayload.size(),
+       digest.data(),
+       &length);
+  return { digest.begin(), digest.begin() + kSignatureBytes };
+}
+
+absl::Status
+Bad(const std::string& aWhat)
+{
+  return core::MakeError(errors::kBadResume, aWhat);
+}
+
+} // namespace
+
+std::uint64_t
+HashPrompt(const CompletionRequest& aRequest)
+{
+  std::uint64_t hash = aRequest.maxTokens.Number();
+  for (const std::string* part :
+       { &aRequest.deployment.Text(), &aRequest.adapter, &aRequest.prompt }) {
+    hash = XXH64(part->data(), part->size(), hash);
+  }
+  return hash;
+}
+
+ResumeSigner::ResumeSigner(std::string aKey)
+  : key(std::move(aKey))
+{
+}
+
+std::string
+ResumeSigner::Sign(const ResumeToken& aToken) const
+{
+  const json payload = {
+    aToken.request.Text(), aToken.model, aToken.version, aToken.target.Text(), aToken.promptHash
+  };
+  const auto bytes = json::to_cbor(payload);
+  const std::string text(bytes.begin(), bytes.end());
+  return absl::WebSafeBase64Escape(SignatureOf(this->key, text) + text);
+}
+
+std::string
+ResumeSigner::SignFor(const CompletionRequest& aRequest, ResumeToken aToken) const
+{
+  if (!this->Enabled()) {
+    return {};
+  }
+  aToken.promptHash = HashPrompt(aRequest);
+  return this->Sign(aToken);
+}
+
+absl::StatusOr<ResumeToken>
+ResumeSigner::Read(const std::string& aText) const
+{
+  std::string bytes;
+  const bool decoded = aText.size() <= kLongestToken && absl::WebSafeBase64Unescape(aText, &bytes);
+  if (!this->Enabled() || !decoded || bytes.size() <= kSignatureBytes) {
+    return Bad("the resume token cannot be read");
+  }
+  const std::string payload = bytes.substr(kSignatureBytes);
+  const std::string expected = SignatureOf(this->key, payload);
+  if (CRYPTO_memcmp(expected.data(), bytes.data(), kSignatureBytes) != 0) {
+    return Bad("the resume token's signature is wrong");
+  }
+  try {
+    const json fields = json::from_cbor(payload);
+    return ResumeToken{ core::RequestId(fields.at(0).get<std::string>()),
+                        fields.at(1).get<std::string>(),
+                        fields.at(2).get<std::string>(),
+                        core::TargetId(fields.at(3).get<std::string>()),
+                        fields.at(4).get<std::uint64_t>() };
+  } catch (const json::exception& problem) {
+    return Bad(problem.what());
+  }
+}
+
+absl::Status
+PrepareResume(const ResumeSigner& aSigner,
+              const control::FleetView& aView,
+              CompletionRequest& aRequest)
+{
+  if (aRequest.resume.empty()) {
+    aRequest.resumeOffset = core::TokenOffset();
+    return absl::OkStatus();
+  }
+  const auto token = aSigner.Read(aRequest.resume);
+  if (!token.ok()) {
+    return token.status();
+  }
+  if (token->promptHash != HashPrompt(aRequest)) {
+    return Bad("the resume token belongs to another request");
+  }
+  if (aRequest.resumeOffset.Number() > aRequest.maxTokens.Number()) {
+    return Bad("field 'resume_offset' lies beyond the answer");
+  }
+  const auto serves = [&](const control::EngineView& aEngine) {
+    return aEngine.deployment == aRequest.deployment && aEngine.report.has_value() &&
+           aEngine.report->model == token->model && aEngine.report->version == token->version;
+  };
+  if (std::none_of(aView.engines.begin(), aView.engines.end(), serves)) {
+    return core::MakeError(errors::kVersionGone, token->model + " " + token->version);
+  }
+  aRequest.version = token->version;
+  return absl::OkStatus();
+}
+
+} // namespace plantainslip::requests
--- /dev/null
+++ b/tests/src/unit-resume.cpp
@@ -0,0 +1,118 @@
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+#include <rapidcheck.h>
+
+#include <plantainslip/requests/errors.hpp>
+#include <plantainslip/requests/resume_token.hpp>
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+// The same cases in every run, unless the environment asks for others.
+const int kSeeded = setenv("RC_PARAMS", "seed=1", 0);
+
+const requests::ResumeSigner kSigner("key of all instances");
+
+requests::CompletionRequest
+Request()
+{
+  requests::CompletionRequest request;
+  request.deployment = core::DeploymentName("reader");
+  request.prompt = "a long dossier";
+  request.maxTokens = core::TokenCount(100);
+  return request;
+}
+
+std::string
+Token(const requests::CompletionRequest& aRequest)
+{
+  return kSigner.SignFor(aRequest,
+                         { core::RequestId("request"), "m", "1", core::TargetId("engine-1"), 0 });
+}
+
+control::FleetView
+ViewWith(const std::string& aVersion)
+{
+  control::EngineView engine;
+  engine.deployment = core::DeploymentName("reader");
+  engine.report = targets::EngineReport();
+  engine.report->model = "m";
+  engine.report->version = aVersion;
+  control::FleetView view;
+  view.engines.push_back(engine);
+  return view;
+}
+
+} // namespace
+
+TEST_CASE("a token is taken by every instance with the key, for the same request")
+{
+  auto request = Request();
+  request.resume = Token(request);
+  request.resumeOffset = core::TokenOffset(17);
+  CHECK(requests::PrepareResume(kSigner, ViewWith("1"), request).ok());
+  CHECK(request.version == "1");
+  CHECK(request.resumeOffset == core::TokenOffset(17));
+}
+
+TEST_CASE("a token is refused with another prompt, length, key or version")
+{
+  const std::string token = Token(Request());
+  auto request = Request();
+  request.resume = token;
+  SUBCASE("prompt")
+  {
+    request.prompt = "another dossier";
+    CHECK(core::IsError(requests::PrepareResume(kSigner, ViewWith("1"), request),
+                        requests::errors::kBadResume));
+  }
+  SUBCASE("length")
+  {
+    request.maxTokens = core::TokenCount(101);
+    CHECK(core::IsError(requests::PrepareResume(kSigner, ViewWith("1"), request),
+                        requests::errors::kBadResume));
+  }
+  SUBCASE("an offset beyond the answer")
+  {
+    request.resumeOffset = core::TokenOffset(101);
+    CHECK(core::IsError(requests::PrepareResume(kSigner, ViewWith("1"), request),
+                        requests::errors::kBadResume));
+  }
+  SUBCASE("key")
+  {
+    CHECK_FALSE(requests::ResumeSigner("another key").Read(token).ok());
+    CHECK_FALSE(requests::ResumeSigner("").Read(token).ok());
+    CHECK(requests::ResumeSigner("").SignFor(Request(), {}).empty());
+  }
+  SUBCASE("version")
+  {
+    CHECK(core::IsError(requests::PrepareResume(kSigner, ViewWith("2"), request),
+                        requests::errors::kVersionGone));
+  }
+}
+
+TEST_CASE("an offset without a token begins the answer anew")
+{
+  auto request = Request();
+  request.resumeOffset = core::TokenOffset(5);
+  CHECK(requests::PrepareResume(kSigner, ViewWith("1"), request).ok());
+  CHECK(request.resumeOffset == core::TokenOffset());
+}
+
+TEST_CASE("a token with any letter changed is refused, and so is any other text")
+{
+  REQUIRE(kSeeded == 0);
+  const std::string token = Token(Request());
+  CHECK(rc::check("one letter changed", [&] {
+    std::string changed = token;
+    // The last letter may hold bits that the decoder ignores.
+    const auto at = *rc::gen::inRange<std::size_t>(0, token.size() - 1);
+    changed[at] = *rc::gen::suchThat<char>([&](char aLetter) { return aLetter != token[at]; });
+    RC_ASSERT(!kSigner.Read(changed).ok());
+  }));
+  CHECK(rc::check("arbitrary text",
+                  [] { RC_ASSERT(!kSigner.Read(*rc::gen::arbitrary<std::string>()).ok()); }));
+}
