--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -7,8 +7,11 @@
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/http_server.hpp>
+#include <plantainslip/peers/peer_client.hpp>
+#include <plantainslip/peers/peer_server.hpp>
 #include <plantainslip/platform/http_platform.hpp>
 #include <plantainslip/requests/dispatcher.hpp>
+#include <plantainslip/requests/spill_over.hpp>
 
 #include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
@@ -32,6 +35,9 @@
   std::string platform;
   std::string operatorKey;
   std::string resumeKey;
+  std::uint16_t peerPort = 0;
+  std::string peerKey;
+  unsigned peerThreads = 64;
   unsigned threads = 256;
   int lingerMs = 0;
 };
@@ -53,6 +59,17 @@
             aSettings.resumeKey,
             "Key of all instances that signs resume tokens; empty issues none",
             "Security");
+  aLine
+    .Add(
+      "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
+    ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
+  aLine.Add("peer-key",
+            aSettings.peerKey,
+            "Key that peers prove themselves with; without it all are refused",
+            "Security");
+  aLine
+    .Add("peer-threads", aSettings.peerThreads, "Most peers' messages worked on at once", "Traffic")
+    ->check(CLI::Range(1U, kMostThreads));
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
@@ -63,6 +80,31 @@
     ->check(CLI::Range(0, 600'000));
 }
 
+peers::PeerHandlers
+MakePeerHandlers(requests::RequestContext& aContext)
+{
+  peers::PeerHandlers handlers;
+  handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
+    return aContext.claims.HandleCommit(aBody);
+  };
+  handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
+                                                       const peers::SendPiece& aSend) {
+    return requests::HandleSpilledCompletion(aContext, aBody, aSend);
+  };
+  return handlers;
+}
+
+absl::StatusOr<std::unique_ptr<peers::PeerServer>>
+ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
+{
+  peers::PeerServerOptions options;
+  options.host = aSettings.host;
+  options.port = aSettings.peerPort;
+  options.key = aSettings.peerKey;
+  options.threads = aSettings.peerThreads;
+  return peers::PeerServer::Create(options, std::move(aHandlers));
+}
+
 int
 Serve(const Settings& aSettings)
 {
@@ -72,10 +114,11 @@
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
+  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey);
   control::ViewBoard board;
   const core::InstanceId self(aSettings.instance);
   const auto claimBook = claims::MakeSegmentClaimBook(
-    {}, { *store, clock, nullptr, [&](std::uint64_t aBucket) {
+    {}, { *store, clock, peerClient.get(), [&](std::uint64_t aBucket) {
            return claims::FindBucketOwner(aBucket, self, board.Current()->entries);
          } });
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
@@ -86,6 +129,7 @@
                                     .engines = *engines,
                                     .services = *services,
                                     .claims = *claimBook,
+                                    .peers = *peerClient,
                                     .board = board,
                                     .resume = requests::ResumeSigner(aSettings.resumeKey),
                                     .gate = {},
@@ -95,10 +139,15 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
+  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
+  if (!peerServer.ok()) {
+    std::cerr << peerServer.status().message() << "\n";
+    return apps::kExitFailed;
+  }
   control::ControlLoopOptions controlOptions;
   controlOptions.zone = context.zone;
-  const auto loop =
-    control::ControlLoop::Start(controlOptions, { *store, *list, *engines, clock }, board);
+  const auto loop = control::ControlLoop::Start(
+    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
@@ -109,8 +158,10 @@
     std::cerr << server.status().message() << "\n";
     return apps::kExitFailed;
   }
-  core::Log(
-    core::LogLevel::kInfo, "listening", { { "address", (*server)->ListeningAddress().Text() } });
+  core::Log(core::LogLevel::kInfo,
+            "listening",
+            { { "address", (*server)->ListeningAddress().Text() },
+              { "peer_address", (*peerServer)->ListeningAddress().Text() } });
 
   apps::WaitForStopSignal();
   core::Log(
@@ -120,6 +171,7 @@
   claimBook->Flush();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
+  (*peerServer)->Stop();
   loop->Stop();
   core::Log(core::LogLevel::kInfo, "stopped");
   return apps::kExitDone;
--- a/include/plantainslip/requests/errors.hpp
+++ b/include/plantainslip/requests/errors.hpp
@@ -43,5 +43,9 @@
 inline constexpr core::ErrorDescription kVersionGone{ 711,
                                                       "requests.version_gone",
                                                       absl::StatusCode::kNotFound };
+/// @brief The caller's deadline has passed. Example: `deadline_ms` of 100 for a long answer.
+inline constexpr core::ErrorDescription kDeadlinePassed{ 720,
+                                                         "requests.deadline_passed",
+                                                         absl::StatusCode::kDeadlineExceeded };
 
 } // namespace plantainslip::requests::errors
--- a/include/plantainslip/requests/resume_token.hpp
+++ b/include/plantainslip/requests/resume_token.hpp
@@ -18,8 +18,8 @@
   /// @brief Model and version that the answer began in.
   std::string model;
   std::string version;
-  /// @brief Engine that began the answer, whose cache is warm.
-  core::TargetId target;
+  /// @brief Engine or peer that the answer came from, for logs.
+  std::string place;
   /// @brief Hash of the deployment, adapter, prompt and length that were asked for.
   std::uint64_t promptHash = 0;
 
--- a/src/requests/resume_token.cpp
+++ b/src/requests/resume_token.cpp
@@ -41,6 +41,28 @@
   return core::MakeError(errors::kBadResume, aWhat);
 }
 
+// Engines of other zones report nothing here, so what is configured counts as served there.
+bool
+IsServed(const control::FleetView& aView,
+         const core::DeploymentName& aDeployment,
+         const ResumeToken& aToken)
+{
+  if (aView.configuration == nullptr) {
+    return false;
+  }
+  const auto deployment = aView.configuration->deployments.find(aDeployment);
+  if (deployment == aView.configuration->deployments.end() ||
+      deployment->second.model != aToken.model) {
+    return false;
+  }
+  const auto serves = [&](const control::EngineView& aEngine) {
+    return aEngine.deployment == aDeployment && aEngine.report.has_value() &&
+           aEngine.report->model == aToken.model && aEngine.report->version == aToken.version;
+  };
+  return deployment->second.version == aToken.version ||
+         std::any_of(aView.engines.begin(), aView.engines.end(), serves);
+}
+
 } // namespace
 
 std::uint64_t
@@ -63,7 +85,7 @@
 ResumeSigner::Sign(const ResumeToken& aToken) const
 {
   const json payload = {
-    aToken.request.Text(), aToken.model, aToken.version, aToken.target.Text(), aToken.promptHash
+    aToken.request.Text(), aToken.model, aToken.version, aToken.place, aToken.promptHash
   };
   const auto bytes = json::to_cbor(payload);
   const std::string text(bytes.begin(), bytes.end());
@@ -98,7 +120,7 @@
     return ResumeToken{ core::RequestId(fields.at(0).get<std::string>()),
                         fields.at(1).get<std::string>(),
                         fields.at(2).get<std::string>(),
-                        core::TargetId(fields.at(3).get<std::string>()),
+                        fields.at(3).get<std::string>(),
                         fields.at(4).get<std::uint64_t>() };
   } catch (const json::exception& problem) {
     return Bad(problem.what());
@@ -124,11 +146,7 @@
   if (aRequest.resumeOffset.Number() > aRequest.maxTokens.Number()) {
     return Bad("field 'resume_offset' lies beyond the answer");
   }
-  const auto serves = [&](const control::EngineView& aEngine) {
-    return aEngine.deployment == aRequest.deployment && aEngine.report.has_value() &&
-           aEngine.report->model == token->model && aEngine.report->version == token->version;
-  };
-  if (std::none_of(aView.engines.begin(), aView.engines.end(), serves)) {
+  if (!IsServed(aView, aRequest.deployment, *token)) {
     return core::MakeError(errors::kVersionGone, token->model + " " + token->version);
   }
   aRequest.version = token->version;
--- a/tests/src/unit-resume.cpp
+++ b/tests/src/unit-resume.cpp
@@ -29,8 +29,7 @@
 std::string
 Token(const requests::CompletionRequest& aRequest)
 {
-  return kSigner.SignFor(aRequest,
-                         { core::RequestId("request"), "m", "1", core::TargetId("engine-1"), 0 });
+  return kSigner.SignFor(aRequest, { core::RequestId("request"), "m", "1", "engine-1", 0 });
 }
 
 control::FleetView
@@ -41,7 +40,10 @@
   engine.report = targets::EngineReport();
   engine.report->model = "m";
   engine.report->version = aVersion;
+  config::Configuration configuration;
+  configuration.deployments[core::DeploymentName("reader")] = { "m", "newest", {} };
   control::FleetView view;
+  view.configuration = std::make_shared<config::Configuration>(configuration);
   view.engines.push_back(engine);
   return view;
 }
