--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -34,6 +34,7 @@
   std::uint16_t port = 0;
   std::string platform;
   apps::Secret operatorKey;
+  apps::Secret resumeKey;
   std::uint16_t peerPort = 0;
   apps::Secret peerKey;
   unsigned peerThreads = 64;
@@ -61,6 +62,10 @@
                   aSettings.operatorKey,
                   "Key that operators prove themselves with; without it all are refused",
                   "Security");
+  aLine.AddSecret("resume-key",
+                  aSettings.resumeKey,
+                  "Key of all instances that signs resume tokens; empty issues none",
+                  "Security");
   aLine
     .Add(
       "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
@@ -136,6 +141,7 @@
                                     .claims = *claimBook,
                                     .peers = *peerClient,
                                     .board = board,
+                                    .resume = requests::ResumeSigner(aSettings.resumeKey.Reveal()),
                                     .gate = {},
                                     .ledger = {},
                                     .deployments = {},
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -11,6 +11,7 @@
 #include <plantainslip/requests/completion_request.hpp>
 #include <plantainslip/requests/errors.hpp>
 #include <plantainslip/requests/placement.hpp>
+#include <plantainslip/requests/resume_token.hpp>
 #include <plantainslip/requests/spill_over.hpp>
 #include <plantainslip/targets/errors.hpp>
 
@@ -185,7 +186,8 @@
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
     const AttemptEnd end =
-      this->RunAttempt(this->context.engines.Generate(engine.address, this->MakeAttempt(engine)));
+      this->RunAttempt(engine.target.Text(),
+                       this->context.engines.Generate(engine.address, this->MakeAttempt(engine)));
     this->context.inFlight.Remove(engine.target, this->context.clock.Now());
     if (end != AttemptEnd::kFailed || this->times.tokens > 0) {
       this->TeachWait(aRanked);
@@ -211,7 +213,8 @@
     spilled.version = this->version = this->VersionForPeer();
     this->times = { this->context.clock.Now(), {}, 0 };
     const AttemptEnd end =
-      this->RunAttempt(OpenSpilledCompletion(this->context.peers,
+      this->RunAttempt(aPeer.instance.Text(),
+                       OpenSpilledCompletion(this->context.peers,
                                              aPeer.peerAddress,
                                              spilled,
                                              std::min(this->TimeLeft(), kLongestEngineSilence)));
@@ -224,21 +227,26 @@
   // The peer's answer does not tell its version, so it is fixed beforehand.
   std::string VersionForPeer() const
   {
-    if (!this->version.empty()) {
-      return this->version;
-    }
+    return this->version.empty() ? this->Deployment().version : this->version;
+  }
+
+  config::Deployment Deployment() const
+  {
     const auto view = this->context.board.Current();
     const auto& deployments = view->configuration->deployments;
     const auto found = deployments.find(this->request.deployment);
-    return found == deployments.end() ? std::string() : found->second.version;
+    return found == deployments.end() ? config::Deployment() : found->second;
   }
 
-  AttemptEnd RunAttempt(absl::StatusOr<std::unique_ptr<targets::TokenStream>> aStream)
+  AttemptEnd RunAttempt(const std::string& aPlace,
+                        absl::StatusOr<std::unique_ptr<targets::TokenStream>> aStream)
   {
     if (!aStream.ok()) {
       this->RememberFailure(aStream.status());
       return AttemptEnd::kFailed;
     }
+    this->sink.OfferResume(this->context.resume.SignFor(
+      this->request, { this->requestId, this->Deployment().model, this->version, aPlace, 0 }));
     for (;;) {
       const auto chunk = (*aStream)->Next();
       if (this->context.clock.Now() >= this->deadline) {
@@ -413,15 +421,19 @@
                  net::HttpExchange& aExchange,
                  const core::RequestId& aRequest)
 {
-  const auto request = ReadRequest(aExchange);
-  if (!request.ok()) {
-    const Problem problem{ request.status(), core::Outcome::kNotRun, aRequest };
+  auto request = ReadRequest(aExchange);
+  const absl::Status usable =
+    request.ok() ? PrepareResume(aContext.resume, *aContext.board.Current(), *request)
+                 : request.status();
+  if (!usable.ok()) {
+    const Problem problem{ usable, core::Outcome::kNotRun, aRequest };
     return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
   }
   const std::string model = request->deployment.Text();
   const auto sink = request->stream ? MakeEventSink(aExchange, aRequest, model)
                                     : MakeJsonSink(aExchange, aRequest, model);
-  return RunCompletion(aContext, *request, { aRequest, {}, {}, true }, *sink);
+  return RunCompletion(
+    aContext, *request, { aRequest, request->resumeOffset, request->version, true }, *sink);
 }
 
 } // namespace plantainslip::requests
