--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -15,8 +15,8 @@
 #include <plantainslip/requests/dispatcher.hpp>
 #include <plantainslip/requests/spill_over.hpp>
 
-#include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
+#include "../common/setting_checks.hpp"
 #include "../common/stop_signal.hpp"
 
 namespace {
@@ -35,9 +35,10 @@
   std::string host = "127.0.0.1";
   std::uint16_t port = 0;
   std::string platform;
-  std::string operatorKey;
+  apps::Secret operatorKey;
+  apps::Secret resumeKey;
   std::uint16_t peerPort = 0;
-  std::string peerKey;
+  apps::Secret peerKey;
   unsigned peerThreads = 64;
   unsigned threads = 256;
   int lingerMs = 0;
@@ -46,24 +47,35 @@
 void
 AddFlags(apps::CommandLine& aLine, Settings& aSettings)
 {
-  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")->required();
-  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")->required();
-  aLine.Add("host", aSettings.host, "IP number to listen on", "Network");
+  aLine.Add("instance", aSettings.instance, "Name of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
+  aLine.Add("zone", aSettings.zone, "Availability zone of this instance", "Identity")
+    ->required()
+    ->check(&apps::CheckName);
+  aLine.Add("host", aSettings.host, "IP number to listen on", "Network")
+    ->check(&apps::CheckIpNumber);
   aLine.Add("port", aSettings.port, "Port to listen on; 0 takes a free one", "Network")
     ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
   aLine.Add("platform", aSettings.platform, "Address of the platform's services", "Network")
     ->required()
     ->check(&apps::CheckAddress);
-  aLine.Add(
-    "operator-key", aSettings.operatorKey, "Key that operators prove themselves with", "Security");
+  aLine.AddSecret("operator-key",
+                  aSettings.operatorKey,
+                  "Key that operators prove themselves with; without it all are refused",
+                  "Security");
+  aLine.AddSecret("resume-key",
+                  aSettings.resumeKey,
+                  "Key of all instances that signs resume tokens; empty issues none",
+                  "Security");
   aLine
     .Add(
       "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
     ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
-  aLine.Add("peer-key",
-            aSettings.peerKey,
-            "Key that peers prove themselves with; without it all are refused",
-            "Security");
+  aLine.AddSecret("peer-key",
+                  aSettings.peerKey,
+                  "Key that peers prove themselves with; without it all are refused",
+                  "Security");
   aLine
     .Add("peer-threads", aSettings.peerThreads, "Most peers' messages worked on at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
@@ -78,9 +90,12 @@
 }
 
 peers::PeerHandlers
-MakePeerHandlers(requests::RequestContext& aContext)
+MakePeerHandlers(requests::RequestContext& aContext, control::ControlLoop& aLoop)
 {
   peers::PeerHandlers handlers;
+  handlers.calls[control::kLoadRecordsKind] = [&aLoop](const std::string& aBody) {
+    return aLoop.HandleLoadRecords(aBody);
+  };
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
@@ -91,6 +106,9 @@
   handlers.calls[authority::kDrainMarkKind] = [&aContext](const std::string& aBody) {
     return authority::AnswerDrainMark(aContext.drainMarks, aBody);
   };
+  handlers.calls[roles::kDemandKind] = [&aContext](const std::string&) {
+    return roles::FormatDigest(aContext.demand.Digest());
+  };
   handlers.calls[authority::kDrainMarksKind] = [&aContext](const std::string&) {
     return authority::AnswerDrainMarks(aContext.drainMarks);
   };
@@ -103,7 +121,7 @@
   peers::PeerServerOptions options;
   options.host = aSettings.host;
   options.port = aSettings.peerPort;
-  options.key = aSettings.peerKey;
+  options.key = aSettings.peerKey.Reveal();
   options.threads = aSettings.peerThreads;
   return peers::PeerServer::Create(options, std::move(aHandlers));
 }
@@ -117,7 +135,7 @@
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
-  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey);
+  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey.Reveal());
   control::ViewBoard board;
   const core::InstanceId self(aSettings.instance);
   const auto claimBook = claims::MakeSegmentClaimBook(
@@ -126,7 +144,7 @@
          } });
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
-                                    .operatorKey = aSettings.operatorKey,
+                                    .operatorKey = aSettings.operatorKey.Reveal(),
                                     .clock = clock,
                                     .store = *store,
                                     .engines = *engines,
@@ -134,22 +152,27 @@
                                     .claims = *claimBook,
                                     .peers = *peerClient,
                                     .board = board,
+                                    .resume = requests::ResumeSigner(aSettings.resumeKey.Reveal()),
                                     .gate = {},
                                     .ledger = {},
+                                    .deployments = {},
                                     .firstToken = {},
                                     .wholeAnswer = {},
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
-  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
+  control::ControlLoopOptions controlOptions;
+  controlOptions.self = context.instance;
+  controlOptions.zone = context.zone;
+  const auto loop = control::ControlLoop::Start(
+    controlOptions,
+    { *store, *list, *engines, clock, &context.knowledge, peerClient.get() },
+    board);
+  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context, *loop));
   if (!peerServer.ok()) {
     std::cerr << peerServer.status().message() << "\n";
     return apps::kExitFailed;
   }
-  control::ControlLoopOptions controlOptions;
-  controlOptions.zone = context.zone;
-  const auto loop = control::ControlLoop::Start(
-    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   const auto learner = control::DrainMarkLearner::Start(
     { *store, *peerClient, board, context.drainMarks }, context.instance, context.zone);
   net::HttpServerOptions serverOptions;
--- a/include/plantainslip/authority/order_journal.hpp
+++ b/include/plantainslip/authority/order_journal.hpp
@@ -64,6 +64,9 @@
   ///         is down, the outcome is unknown or another controller wrote first
   absl::StatusOr<JournalEntry> Write(JournalEntry aEntry);
 
+  /// @brief Gives how many writes were tried.
+  std::uint64_t Writes() const { return this->writes; }
+
   /// @brief Gives the mark that entry instances have to go by for each engine.
   std::vector<DrainMark> Marks() const;
 
@@ -73,6 +76,7 @@
   platform::Store& store;
   core::ZoneId zone;
   bool loaded = false;
+  std::uint64_t writes = 0;
   std::map<core::TargetId, JournalEntry> entries;
 };
 
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -9,12 +9,15 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
 #include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/requests/drain_gate.hpp>
+#include <plantainslip/requests/resume_token.hpp>
 #include <plantainslip/retries/retry_policy.hpp>
+#include <plantainslip/roles/demand_counter.hpp>
 #include <plantainslip/routing/engine_knowledge.hpp>
 #include <plantainslip/routing/in_flight.hpp>
 #include <plantainslip/targets/engine.hpp>
@@ -36,9 +39,12 @@
   claims::ClaimBook& claims;
   peers::PeerClient& peers;
   control::ViewBoard& board;
+  /// @brief Signs tokens by which callers go on with cut answers.
+  ResumeSigner resume;
 
   DrainGate gate;
   observe::RequestLedger ledger;
+  observe::DeploymentMetrics deployments;
   observe::LatencyHistogram firstToken;
   observe::LatencyHistogram wholeAnswer;
   routing::InFlight inFlight;
@@ -53,6 +59,8 @@
   retries::RetryBudget retryBudget{};
   /// @brief Which targets get no new work, since they are about to be changed.
   authority::DrainMarks drainMarks{ inFlight };
+  /// @brief What the zone's controller plans roles by.
+  roles::DemandCounter demand{};
 };
 
 } // namespace plantainslip::requests
--- a/src/authority/controller.cpp
+++ b/src/authority/controller.cpp
@@ -34,7 +34,14 @@
   this->lease.Keep();
   // Read after the confirmations: an engine that is idle now gets no new work.
   this->ReadReports();
+  this->lease.Keep();
+  this->PlanRoles();
+  const std::uint64_t writes = this->journal.Writes();
   this->StepAll();
+  if (this->journal.Writes() != writes && this->journal.Load().ok()) {
+    // Marks that were set or lifted in this step are not left to the next.
+    this->drains.Sync(this->entries, this->journal.Marks());
+  }
 }
 
 void
@@ -116,6 +123,29 @@
   });
 }
 
+void
+Controller::PlanRoles()
+{
+  this->plannedRoles.clear();
+  if (this->ports.roles == nullptr) {
+    return;
+  }
+  this->ports.roles->Learn(this->entries);
+  std::vector<RoleCandidate> candidates;
+  for (const auto& [target, state] : this->engines) {
+    const auto rule = this->configuration->targets.find(target);
+    const bool open = rule != this->configuration->targets.end() && rule->second.role == "auto";
+    if (open && state.report.has_value() && !state.listed.leaving) {
+      const JournalEntry entry = this->journal.Entry(target);
+      const bool changes =
+        entry.phase != OrderPhase::kSettled && entry.order.kind == targets::OrderKind::kSetRole;
+      const targets::EngineRole role = changes ? entry.order.role : state.report->role;
+      candidates.push_back({ target, rule->second.deployment, role, state.report->running });
+    }
+  }
+  this->plannedRoles = this->ports.roles->Plan(this->configuration->weights, candidates);
+}
+
 void
 Controller::StepAll()
 {
@@ -156,7 +186,12 @@
   situation.report = engine->second.report;
   situation.mayDrain = this->MayDrain(aTarget);
   if (situation.report.has_value() && !engine->second.listed.leaving) {
-    situation.wanted = NextOrder(*this->configuration, aTarget, *situation.report);
+    const auto planned = this->plannedRoles.find(aTarget);
+    situation.wanted = NextOrder(
+      *this->configuration,
+      aTarget,
+      *situation.report,
+      planned == this->plannedRoles.end() ? std::nullopt : std::optional(planned->second));
   }
   return situation;
 }
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -1,5 +1,6 @@
 #include <plantainslip/requests/completions.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <thread>
@@ -11,6 +12,7 @@
 #include <plantainslip/requests/completion_request.hpp>
 #include <plantainslip/requests/errors.hpp>
 #include <plantainslip/requests/placement.hpp>
+#include <plantainslip/requests/resume_token.hpp>
 #include <plantainslip/requests/spill_over.hpp>
 #include <plantainslip/targets/errors.hpp>
 
@@ -22,6 +24,9 @@
 
 constexpr std::chrono::milliseconds kLongestEngineSilence = std::chrono::seconds(30);
 
+constexpr std::chrono::milliseconds kLongestWaitForDrain = std::chrono::seconds(20);
+constexpr std::chrono::milliseconds kDrainPoll{ 20 };
+
 enum class AttemptEnd
 {
   kFinished,
@@ -38,6 +43,16 @@
   std::uint64_t tokens = 0;
 };
 
+// Callers may send any name, so only configured ones are counted apart.
+observe::DeploymentCounters&
+CountersOf(RequestContext& aContext, const core::DeploymentName& aDeployment)
+{
+  const auto view = aContext.board.Current();
+  const bool known =
+    view->configuration != nullptr && view->configuration->deployments.contains(aDeployment);
+  return aContext.deployments.Of(known ? aDeployment : core::DeploymentName("unknown"));
+}
+
 // One completion from its first attempt to its end.
 class CompletionRun
 {
@@ -51,6 +66,7 @@
     , requestId(aStart.request)
     , sink(aSink)
     , assembly(aStart.request, aStart.offset)
+    , counters(CountersOf(aContext, aRequest.deployment))
     , begunAt(aContext.clock.Now())
     , lastTokenAt(this->begunAt)
     , deadline(this->begunAt + aRequest.deadline)
@@ -62,8 +78,27 @@
   }
 
   RequestEnd Run()
+  {
+    const RequestEnd end = this->RunToEnd();
+    this->counters.CountEnd(end);
+    return end;
+  }
+
+private:
+  // Callers may send any name, so only configured ones are counted.
+  void CountDemand()
+  {
+    const auto view = this->context.board.Current();
+    if (view->configuration != nullptr &&
+        view->configuration->deployments.contains(this->request.deployment)) {
+      this->context.demand.CountRequest(this->request.deployment, this->request.prompt.size());
+    }
+  }
+
+  RequestEnd RunToEnd()
   {
     this->context.retryBudget.AddRequest();
+    this->CountDemand();
     for (;;) {
       const auto place = this->Place();
       if (!place.has_value()) {
@@ -72,6 +107,8 @@
       switch (this->Try(*place)) {
         case AttemptEnd::kFinished:
           this->context.wholeAnswer.Record(this->context.clock.Now() - this->begunAt);
+          this->context.demand.CountAnswer(this->request.deployment,
+                                           core::TokenCount(this->assembly.Offset().Number()));
           return RequestEnd::kAnswered;
         case AttemptEnd::kCallerGone:
           return RequestEnd::kCallerGone;
@@ -85,7 +122,6 @@
     }
   }
 
-private:
   bool HasBegun() const { return this->assembly.Offset() != core::TokenOffset(); }
 
   std::optional<Placement> Place()
@@ -99,6 +135,13 @@
                           this->maySpill, this->failedEngines, this->failedPeers };
     NoPlace noPlace;
     auto place = FindPlace(this->context, query, noPlace);
+    // An answer that has begun waits for an engine that is being changed rather than end cut.
+    const core::MonotonicTime patience = this->context.clock.Now() + kLongestWaitForDrain;
+    while (!place.has_value() && this->HasBegun() && this->IsAnyDraining() &&
+           this->context.clock.Now() < std::min(patience, this->deadline)) {
+      std::this_thread::sleep_for(kDrainPoll);
+      place = FindPlace(this->context, query, noPlace);
+    }
     if (!place.has_value() && !this->failedEngines.empty()) {
       // Every other place is used up, so those that failed before are tried again.
       query.failedEngines.clear();
@@ -111,6 +154,15 @@
     return place;
   }
 
+  bool IsAnyDraining() const
+  {
+    const auto draining = this->context.drainMarks.Draining();
+    const auto view = this->context.board.Current();
+    return std::any_of(view->engines.begin(), view->engines.end(), [&](const auto& aEngine) {
+      return aEngine.deployment == this->request.deployment && draining.contains(aEngine.target);
+    });
+  }
+
   bool WaitForRetry()
   {
     const retries::FailedAttempt failed{
@@ -166,8 +218,11 @@
     this->times = { this->context.clock.Now(), {}, 0 };
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
-    const AttemptEnd end = this->RunAttempt(this->OpenStream(engine));
+    const AttemptEnd end = this->RunAttempt(engine.target.Text(), this->OpenStream(engine));
     this->context.inFlight.Remove(engine.target, this->context.clock.Now());
+    if (end != AttemptEnd::kFailed || this->times.tokens > 0) {
+      this->TeachWait(aRanked);
+    }
     if (end == AttemptEnd::kFinished) {
       this->TeachCapacity(aRanked);
     } else if (end == AttemptEnd::kFailed) {
@@ -200,7 +255,8 @@
     spilled.version = this->version = this->VersionForPeer();
     this->times = { this->context.clock.Now(), {}, 0 };
     const AttemptEnd end =
-      this->RunAttempt(OpenSpilledCompletion(this->context.peers,
+      this->RunAttempt(aPeer.instance.Text(),
+                       OpenSpilledCompletion(this->context.peers,
                                              aPeer.peerAddress,
                                              spilled,
                                              std::min(this->TimeLeft(), kLongestEngineSilence)));
@@ -213,21 +269,26 @@
   // The peer's answer does not tell its version, so it is fixed beforehand.
   std::string VersionForPeer() const
   {
-    if (!this->version.empty()) {
-      return this->version;
-    }
+    return this->version.empty() ? this->Deployment().version : this->version;
+  }
+
+  config::Deployment Deployment() const
+  {
     const auto view = this->context.board.Current();
     const auto& deployments = view->configuration->deployments;
     const auto found = deployments.find(this->request.deployment);
-    return found == deployments.end() ? std::string() : found->second.version;
+    return found == deployments.end() ? config::Deployment() : found->second;
   }
 
-  AttemptEnd RunAttempt(absl::StatusOr<std::unique_ptr<targets::TokenStream>> aStream)
+  AttemptEnd RunAttempt(const std::string& aPlace,
+                        absl::StatusOr<std::unique_ptr<targets::TokenStream>> aStream)
   {
     if (!aStream.ok()) {
       this->RememberFailure(aStream.status());
       return AttemptEnd::kFailed;
     }
+    this->sink.OfferResume(this->context.resume.SignFor(
+      this->request, { this->requestId, this->Deployment().model, this->version, aPlace, 0 }));
     for (;;) {
       const auto chunk = (*aStream)->Next();
       if (this->context.clock.Now() >= this->deadline) {
@@ -268,16 +329,29 @@
     const core::MonotonicTime now = this->context.clock.Now();
     if (aChunk.offset == this->startOffset) {
       this->context.firstToken.Record(now - this->begunAt);
+      this->counters.CountFirstToken(now - this->begunAt);
     } else {
       this->context.betweenTokens.Record(now - this->lastTokenAt);
+      this->counters.CountTokenGap(now - this->lastTokenAt);
     }
     this->lastTokenAt = now;
     if (this->times.tokens++ == 0) {
       this->times.firstTokenAt = now;
     }
+    this->lastTokenAt = now;
     return this->sink.Text(aChunk.offset, aChunk.text);
   }
 
+  // An attempt without a first token has waited until now, at the least.
+  void TeachWait(const routing::RankedEngine& aRanked)
+  {
+    const bool begun = this->times.tokens > 0;
+    const core::MonotonicTime until = begun ? this->times.firstTokenAt : this->context.clock.Now();
+    const routing::Seconds prefill = aRanked.cost - aRanked.wait;
+    const routing::Seconds waited = until - this->times.begunAt - prefill;
+    this->context.knowledge.capacity.AddWait(this->request.priority, aRanked.queueWait, waited);
+  }
+
   void TeachCapacity(const routing::RankedEngine& aRanked)
   {
     if (this->times.tokens == 0) {
@@ -345,6 +419,7 @@
   core::RequestId requestId;
   AnswerSink& sink;
   AnswerAssembly assembly;
+  observe::DeploymentCounters& counters;
   core::MonotonicTime begunAt;
   core::MonotonicTime lastTokenAt;
   core::MonotonicTime deadline;
@@ -388,15 +463,19 @@
                  net::HttpExchange& aExchange,
                  const core::RequestId& aRequest)
 {
-  const auto request = ReadRequest(aExchange);
-  if (!request.ok()) {
-    const Problem problem{ request.status(), core::Outcome::kNotRun, aRequest };
+  auto request = ReadRequest(aExchange);
+  const absl::Status usable =
+    request.ok() ? PrepareResume(aContext.resume, *aContext.board.Current(), *request)
+                 : request.status();
+  if (!usable.ok()) {
+    const Problem problem{ usable, core::Outcome::kNotRun, aRequest };
     return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
   }
   const std::string model = request->deployment.Text();
   const auto sink = request->stream ? MakeEventSink(aExchange, aRequest, model)
                                     : MakeJsonSink(aExchange, aRequest, model);
-  return RunCompletion(aContext, *request, { aRequest, {}, {}, true }, *sink);
+  return RunCompletion(
+    aContext, *request, { aRequest, request->resumeOffset, request->version, true }, *sink);
 }
 
 } // namespace plantainslip::requests
--- a/src/requests/placement.cpp
+++ b/src/requests/placement.cpp
@@ -26,9 +26,10 @@
   const CompletionRequest& request = aQuery.request;
   std::set<core::TargetId> excluded = aContext.drainMarks.Draining();
   excluded.insert(aQuery.failedEngines.begin(), aQuery.failedEngines.end());
-  const routing::EngineQuery query{ aContext.zone,  request.deployment, request.adapter,
-                                    aQuery.version, request.prompt,     request.maxTokens,
-                                    excluded };
+  const routing::EngineQuery query{ aContext.zone,    request.deployment,
+                                    request.adapter,  aQuery.version,
+                                    request.prompt,   request.maxTokens,
+                                    request.priority, excluded };
   const routing::RoutingInputs inputs{ aContext.inFlight,
                                        aContext.knowledge.prefixes,
                                        aContext.knowledge.capacity,
