Keep standbys' store calls constant; test cuts, withdrawn engines, silent instances

Cause: each standby tried the lease three times in its duration, so calls grew with the zone. Change: a standby's interval grows with the number of the zone's entry instances.

--- a/include/plantainslip/authority/controller.hpp
+++ b/include/plantainslip/authority/controller.hpp
@@ -69,6 +69,7 @@
   };
 
   bool BeginStep();
+  void CountContenders();
   void RefreshConfiguration();
   void ReadZone(const std::vector<platform::ListedInstance>& aList);
   void ReadReports();
@@ -93,6 +94,7 @@
   DrainCoordinator drains;
   std::optional<core::FencingToken> term;
   core::MonotonicTime termBegunAt;
+  std::optional<core::MonotonicTime> contendersCountedAt;
   std::optional<config::Configuration> configuration;
   std::vector<platform::ListedInstance> entries;
   std::map<core::TargetId, EngineState> engines;
--- a/include/plantainslip/authority/zone_lease.hpp
+++ b/include/plantainslip/authority/zone_lease.hpp
@@ -40,6 +40,10 @@
   ///        one call of the store, and none before one is due.
   void Keep();
 
+  /// @brief Sets how many controllers of the zone there may be. Those that stand by call the store
+  ///        the more rarely the more there are, so that their calls do not grow with the fleet.
+  void SetContenders(std::size_t aContenders) { this->contenders = aContenders; }
+
   /// @brief Gives the fencing token while the lease certainly holds; nothing otherwise.
   std::optional<core::FencingToken> Token() const;
 
@@ -50,6 +54,7 @@
   std::string Name() const;
   void Adopt(const absl::StatusOr<platform::LeaseGrant>& aGrant, core::MonotonicTime aSentAt);
   void StandDown();
+  std::chrono::milliseconds StandbyInterval() const;
 
   platform::Store& store;
   const core::Clock& clock;
@@ -58,6 +63,7 @@
   std::optional<core::FencingToken> token;
   core::MonotonicTime endsAt;
   core::MonotonicTime nextCallAt;
+  std::size_t contenders = 1;
 };
 
 } // namespace plantainslip::authority
--- a/src/authority/controller.cpp
+++ b/src/authority/controller.cpp
@@ -9,6 +9,12 @@
 
 namespace plantainslip::authority {
 
+namespace {
+
+constexpr std::chrono::seconds kCountInterval{ 60 };
+
+} // namespace
+
 Controller::Controller(ControllerPorts aPorts, const ControllerOptions& aOptions)
   : ports(aPorts)
   , options(aOptions)
@@ -22,6 +28,7 @@
 Controller::Step()
 {
   if (!this->BeginStep()) {
+    this->CountContenders();
     return;
   }
   this->RefreshConfiguration();
@@ -44,6 +51,24 @@
   }
 }
 
+// Every instance of the zone runs a controller, so entry instances tell how many stand by.
+void
+Controller::CountContenders()
+{
+  const core::MonotonicTime now = this->ports.clock.Now();
+  if (this->contendersCountedAt.has_value() && now < *this->contendersCountedAt + kCountInterval) {
+    return;
+  }
+  this->contendersCountedAt = now;
+  const auto listed = this->ports.list.Read();
+  if (listed.ok()) {
+    const auto count = std::count_if(listed->begin(), listed->end(), [this](const auto& aOne) {
+      return aOne.kind == platform::ListedKind::kEntry && aOne.zone == this->options.lease.zone;
+    });
+    this->lease.SetContenders(static_cast<std::size_t>(count));
+  }
+}
+
 void
 Controller::Stop()
 {
--- a/src/authority/zone_lease.cpp
+++ b/src/authority/zone_lease.cpp
@@ -1,5 +1,6 @@
 #include <plantainslip/authority/zone_lease.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <plantainslip/platform/errors.hpp>
@@ -10,6 +11,8 @@
 
 // A holder may miss two renewals before it has to stand down.
 constexpr int kRenewalsPerTerm = 3;
+// So many calls are made in a third of the lease by all that stand by together.
+constexpr std::size_t kStandbyCalls = 3;
 
 } // namespace
 
@@ -41,21 +44,30 @@
   if (sentAt < this->nextCallAt) {
     return;
   }
-  this->nextCallAt = sentAt + this->options.duration / kRenewalsPerTerm;
   if (this->token.has_value()) {
+    this->nextCallAt = sentAt + this->options.duration / kRenewalsPerTerm;
     this->Adopt(this->store.RenewLease(this->Name(), *this->token, this->options.duration), sentAt);
     return;
   }
+  this->nextCallAt = sentAt + this->StandbyInterval();
   this->Adopt(
     this->store.AcquireLease(this->Name(), this->options.holder.Text(), this->options.duration),
     sentAt);
 }
 
+std::chrono::milliseconds
+ZoneLease::StandbyInterval() const
+{
+  const auto groups = std::max<std::size_t>(1, this->contenders / kStandbyCalls);
+  return this->options.duration / kRenewalsPerTerm * static_cast<std::int64_t>(groups);
+}
+
 void
 ZoneLease::Adopt(const absl::StatusOr<platform::LeaseGrant>& aGrant, core::MonotonicTime aSentAt)
 {
   if (aGrant.ok()) {
     this->token = aGrant->token;
+    this->nextCallAt = aSentAt + this->options.duration / kRenewalsPerTerm;
     this->endsAt = aSentAt + aGrant->duration - this->options.margin;
     this->timer.Arm(this->endsAt);
   } else if (core::IsError(aGrant.status(), platform::errors::kLeaseHeld)) {
--- a/tests/src/fault-orders.cpp
+++ b/tests/src/fault-orders.cpp
@@ -292,3 +292,80 @@
     }
   }
 }
+
+TEST_CASE("a zone cut from the platform plans no changes and goes on where the journal stands")
+{
+  core::ManualClock clock;
+  Zone zone(clock, false);
+  Process controller(zone, "only");
+  controller.Run(kStepsUnderFaults);
+  REQUIRE(zone.IsAsWanted());
+  zone.Work();
+  zone.WantVersion("2");
+  SUBCASE("before the drain")
+  {
+    zone.store.SetDown(true);
+  }
+  SUBCASE("in the middle of the drain")
+  {
+    controller.controller->Step();
+    REQUIRE(zone.marks.Draining().size() == 1);
+    zone.store.SetDown(true);
+  }
+  for (int minute = 0; minute < 5; ++minute) {
+    controller.Run(120);
+    // The engine that is not draining goes on working.
+    CHECK(zone.inFlight.Count(core::TargetId("e2")) == 1);
+  }
+  CHECK(zone.engines.At(kFirstEngine).arrivals.empty());
+  CHECK(zone.engines.At(kSecondEngine).arrivals.empty());
+  zone.store.SetDown(false);
+  controller.Run(kStepsToTheEnd);
+  CHECK(CheckZone(zone).empty());
+}
+
+TEST_CASE("a withdrawn engine's order is settled, and one that replaces it gets what is wanted")
+{
+  core::ManualClock clock;
+  Zone zone(clock, true);
+  Process controller(zone, "only");
+  controller.Run(kStepsUnderFaults);
+  zone.WantVersion("2");
+  const auto whole = zone.list.listed;
+  SUBCASE("withdrawn in the drain")
+  {
+    controller.controller->Step();
+  }
+  SUBCASE("withdrawn in the change")
+  {
+    while (zone.engines.At(kFirstEngine).arrivals.empty()) {
+      controller.Run(1);
+    }
+  }
+  zone.list.listed = { whole[0], whole[2] };
+  controller.Run(kStepsUnderFaults);
+  CHECK(zone.marks.Draining().empty());
+  // The work that the entry instance has there goes over to the engine that replaces it.
+  fakes::MemoryEngine replacement;
+  replacement.report.running = zone.inFlight.Count(core::TargetId("e1"));
+  zone.engines.At(kFirstEngine) = replacement;
+  zone.list.listed = whole;
+  controller.Run(kStepsToTheEnd);
+  CHECK(CheckZone(zone).empty());
+}
+
+TEST_CASE("an entry instance that is listed and silent holds up the change and no traffic")
+{
+  core::ManualClock clock;
+  Zone zone(clock, true);
+  Process controller(zone, "only");
+  controller.Run(kStepsUnderFaults);
+  zone.WantVersion("2");
+  zone.list.listed.push_back(Listed("x2", platform::ListedKind::kEntry, kEntryPort + 1));
+  controller.Run(kStepsToTheEnd);
+  CHECK(zone.engines.At(kFirstEngine).arrivals.empty());
+  CHECK(zone.inFlight.Count(core::TargetId("e2")) == 1);
+  zone.list.listed.pop_back();
+  controller.Run(kStepsToTheEnd);
+  CHECK(CheckZone(zone).empty());
+}
