--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,9 +2,11 @@
 
 #include <iostream>
 
+#include <plantainslip/authority/drain_messages.hpp>
 #include <plantainslip/claims/bucket_owner.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
+#include <plantainslip/control/drain_mark_learner.hpp>
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/http_server.hpp>
 #include <plantainslip/peers/peer_client.hpp>
@@ -101,6 +103,12 @@
                                                        const peers::SendPiece& aSend) {
     return requests::HandleSpilledCompletion(aContext, aBody, aSend);
   };
+  handlers.calls[authority::kDrainMarkKind] = [&aContext](const std::string& aBody) {
+    return authority::AnswerDrainMark(aContext.drainMarks, aBody);
+  };
+  handlers.calls[authority::kDrainMarksKind] = [&aContext](const std::string&) {
+    return authority::AnswerDrainMarks(aContext.drainMarks);
+  };
   return handlers;
 }
 
@@ -162,6 +170,8 @@
     std::cerr << peerServer.status().message() << "\n";
     return apps::kExitFailed;
   }
+  const auto learner = control::DrainMarkLearner::Start(
+    { *store, *peerClient, board, context.drainMarks }, context.instance, context.zone);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -3,6 +3,7 @@
 #include <mutex>
 
 #include <plantainslip/admission/admission.hpp>
+#include <plantainslip/authority/drain_marks.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
@@ -55,6 +56,8 @@
   routing::RoutingOptions routing{};
   admission::AdmissionOptions admission{};
   retries::RetryBudget retryBudget{};
+  /// @brief Which targets get no new work, since they are about to be changed.
+  authority::DrainMarks drainMarks{ inFlight };
 };
 
 } // namespace plantainslip::requests
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -1,5 +1,6 @@
 #include <plantainslip/requests/completions.hpp>
 
+#include <map>
 #include <optional>
 #include <set>
 #include <thread>
@@ -85,7 +86,7 @@
   {
     this->context.retryBudget.AddRequest();
     for (;;) {
-      const auto place = this->Place();
+      const auto place = this->AwaitPlace();
       if (!place.has_value()) {
         return this->GiveUp();
       }
@@ -114,13 +115,14 @@
       this->version = this->startVersion;
     }
     const bool admitted = this->assembly.Attempt().Number() > 0;
-    PlacementQuery query{ this->request,  this->version,       this->deadline,   admitted,
-                          this->maySpill, this->failedEngines, this->failedPeers };
+    PlacementQuery query{ this->request,  this->version,         this->deadline,   admitted,
+                          this->maySpill, this->FailedEngines(), this->failedPeers };
     NoPlace noPlace;
     auto place = FindPlace(this->context, query, noPlace);
-    if (!place.has_value() && !this->failedEngines.empty()) {
-      // Every other place is used up, so those that failed before are tried again.
-      query.failedEngines.clear();
+    if (!place.has_value() && !this->failedAt.empty()) {
+      // Every other place is used up, so engines that have reported since they failed are tried
+      // again; one that is silent is likely to be dead.
+      query.failedEngines = this->SilentEngines();
       place = FindPlace(this->context, query, noPlace);
     }
     if (!place.has_value()) {
@@ -130,6 +132,42 @@
     return place;
   }
 
+  std::set<core::TargetId> FailedEngines() const
+  {
+    std::set<core::TargetId> failed;
+    for (const auto& [target, at] : this->failedAt) {
+      failed.insert(target);
+    }
+    return failed;
+  }
+
+  std::set<core::TargetId> SilentEngines() const
+  {
+    std::set<core::TargetId> silent = this->FailedEngines();
+    for (const control::EngineView& engine : this->context.board.Current()->engines) {
+      const auto failed = this->failedAt.find(engine.target);
+      const bool reported = failed != this->failedAt.end() && engine.report.has_value() &&
+                            engine.reportedAt > failed->second;
+      if (reported) {
+        silent.erase(engine.target);
+      }
+    }
+    return silent;
+  }
+
+  // Giving up would cut an answer that the caller has a part of, so a place is waited for.
+  std::optional<Placement> AwaitPlace()
+  {
+    const core::MonotonicTime waitingSince = this->context.clock.Now();
+    auto place = this->Place();
+    while (!place.has_value() && this->HasBegun() &&
+           retries::MayWaitForPlace(waitingSince, this->deadline, this->context.clock.Now())) {
+      std::this_thread::sleep_for(retries::kPlacePollInterval);
+      place = this->Place();
+    }
+    return place;
+  }
+
   bool WaitForRetry()
   {
     const retries::FailedAttempt failed{
@@ -185,9 +223,7 @@
     this->times = { this->context.clock.Now(), {}, 0 };
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
-    const AttemptEnd end =
-      this->RunAttempt(engine.target.Text(),
-                       this->context.engines.Generate(engine.address, this->MakeAttempt(engine)));
+    const AttemptEnd end = this->RunAttempt(engine.target.Text(), this->OpenStream(engine));
     this->context.inFlight.Remove(engine.target, this->context.clock.Now());
     if (end != AttemptEnd::kFailed || this->times.tokens > 0) {
       this->TeachWait(aRanked);
@@ -195,13 +231,24 @@
     if (end == AttemptEnd::kFinished) {
       this->TeachCapacity(aRanked);
     } else if (end == AttemptEnd::kFailed) {
-      this->failedEngines.insert(engine.target);
+      this->failedAt[engine.target] = this->context.clock.Now();
     } else {
       this->CancelAt(engine);
     }
     return end;
   }
 
+  // The attempt is counted in before the mark is looked at, so no work slips past a drain.
+  absl::StatusOr<std::unique_ptr<targets::TokenStream>> OpenStream(
+    const control::EngineView& aEngine)
+  {
+    const targets::GenerateRequest attempt = this->MakeAttempt(aEngine);
+    if (!this->context.drainMarks.MayBegin(aEngine.target)) {
+      return core::MakeError(targets::errors::kRefused, aEngine.target.Text() + " is draining");
+    }
+    return this->context.engines.Generate(aEngine.address, attempt);
+  }
+
   AttemptEnd TryPeer(const control::EntryView& aPeer)
   {
     SpilledCompletion spilled;
@@ -386,7 +433,7 @@
   std::string version;
   core::TokenOffset startOffset;
   AttemptTimes times;
-  std::set<core::TargetId> failedEngines;
+  std::map<core::TargetId, core::MonotonicTime> failedAt;
   std::set<core::InstanceId> failedPeers;
   core::Outcome outcome = core::Outcome::kNotRun;
   absl::Status failure;
--- a/src/retries/retry_policy.cpp
+++ b/src/retries/retry_policy.cpp
@@ -46,6 +46,12 @@
   return std::chrono::milliseconds(drawn);
 }
 
+bool
+MayWaitForPlace(core::MonotonicTime aSince, core::MonotonicTime aDeadline, core::MonotonicTime aNow)
+{
+  return aNow < aDeadline && aNow - aSince < kLongestPlaceWait;
+}
+
 std::optional<std::chrono::milliseconds>
 DecideRetry(const FailedAttempt& aFailed,
             core::MonotonicTime aNow,
