--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -178,7 +178,6 @@
       [this, address = aEngine.address] { return this->ports.engines.ReadReport(address); },
       [this, target = aEngine.target](const absl::StatusOr<targets::EngineReport>& aReport) {
         const core::MonotonicTime now = this->ports.clock.Now();
-        this->Observe(target, aReport);
         if (aReport.ok()) {
           this->exchange.AdoptPolled(target, *aReport, now);
         } else {
@@ -245,6 +244,7 @@
   {
     for (const EngineView& engine : this->board.Current()->engines) {
       auto known = this->exchange.Find(engine.target);
+      this->Observe(engine.target, known);
       if (known.has_value()) {
         this->builder.AdoptReport(engine.target, std::move(known->report), known->reportedAt);
       } else {
@@ -265,13 +265,14 @@
       this->eventTimer, this->options.eventInterval, [this] { this->ReadAllCacheEvents(); });
   }
 
-  void Observe(const core::TargetId& aTarget, const absl::StatusOr<targets::EngineReport>& aReport)
+  // Reports that peers handed on teach as much as those that this instance has read.
+  void Observe(const core::TargetId& aTarget, const std::optional<TimedReport>& aKnown)
   {
     if (this->ports.observer == nullptr) {
       return;
     }
-    if (aReport.ok()) {
-      this->ports.observer->OnReport(aTarget, *aReport);
+    if (aKnown.has_value()) {
+      this->ports.observer->OnReport(aTarget, aKnown->report);
     } else {
       this->ports.observer->OnLost(aTarget);
     }
