--- a/bench/retries.cpp
+++ b/bench/retries.cpp
@@ -81,9 +81,8 @@
     }
     const auto wait = this->Decide(aAttempt, aDeadline);
     if (wait.has_value()) {
-      this->simulation.After(Seconds(*wait), [this, aAttempt, aDeadline] {
-        this->Call(aAttempt + 1, aDeadline);
-      });
+      this->simulation.After(Seconds(*wait),
+                             [this, aAttempt, aDeadline] { this->Call(aAttempt + 1, aDeadline); });
     }
   }
 
@@ -94,9 +93,7 @@
     if (this->policy != Policy::kBudget) {
       return naive ? std::optional(std::chrono::milliseconds(0)) : std::nullopt;
     }
-    const retries::FailedAttempt failed{
-      aAttempt, core::Outcome::kNotRun, true, false, aDeadline
-    };
+    const retries::FailedAttempt failed{ aAttempt, core::Outcome::kNotRun, true, false, aDeadline };
     return retries::DecideRetry(failed, this->simulation.Now(), this->budget, this->waits);
   }
 
@@ -120,12 +117,8 @@
 {
   std::printf("seed %llu; 200 requests/s for 120 s at a target that fails a share of its calls\n",
               static_cast<unsigned long long>(kSeed));
-  std::printf("%-10s %7s %12s %12s %12s\n",
-              "policy",
-              "failing",
-              "calls/req",
-              "peak calls/s",
-              "answered");
+  std::printf(
+    "%-10s %7s %12s %12s %12s\n", "policy", "failing", "calls/req", "peak calls/s", "answered");
   for (const double failing : { 0.1, 0.5, 1.0 }) {
     Scenario(Policy::kNone, failing).Run("none");
     Scenario(Policy::kNaive, failing).Run("naive");
--- a/tests/fakes/engine_main.cpp
+++ b/tests/fakes/engine_main.cpp
@@ -10,9 +10,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include <plantainslip/routing/prompt_pieces.hpp>
+
 #include "../../apps/common/stop_signal.hpp"
 #include "expected_answer.hpp"
 #include "fake_process.hpp"
+#include "prefix_cache.hpp"
+#include "slot_queue.hpp"
 
 namespace {
 
@@ -35,6 +39,10 @@
   int tokenIntervalUs = 2000;
   int changeMs = 300;
   bool checksFencing = false;
+  std::uint64_t slots = 0;
+  std::uint64_t prefillTokensPerSecond = 0;
+  std::size_t cachePieces = 0;
+  std::uint64_t lostEventEvery = 0;
 };
 
 class FakeEngine
@@ -45,6 +53,8 @@
     , model(aSettings.model)
     , version(aSettings.version)
     , role(aSettings.role)
+    , slots(aSettings.slots)
+    , cache(aSettings.cachePieces, aSettings.lostEventEvery)
   {
   }
 
@@ -65,7 +75,9 @@
     } else if (call == "POST /v1/cancel") {
       this->Cancel(aExchange, text);
     } else if (call == "GET /v1/cache-events") {
-      aExchange.Respond(kOk, "application/json", R"({"events":[]})");
+      this->ShowCacheEvents(aExchange);
+    } else if (call == "GET /v1/work") {
+      aExchange.Respond(kOk, "application/json", this->Work().dump());
     } else if (call == "POST /v1/faults") {
       this->crashAfterTokens = text.value("crash_after_tokens", std::int64_t{ -1 });
       aExchange.Respond(kOk, "application/json", "{}");
@@ -89,6 +101,28 @@
     }
   }
 
+  void ShowCacheEvents(net::HttpExchange& aExchange)
+  {
+    const std::uint64_t after = std::stoull(aExchange.Query("after").value_or("0"));
+    json events = json::array();
+    const std::scoped_lock lock(this->mutex);
+    for (const targets::CacheEvent& event : this->cache.EventsAfter(after)) {
+      events.push_back({ { "sequence", event.sequence },
+                         { "piece", event.pieceHash },
+                         { "stored", event.stored } });
+    }
+    aExchange.Respond(kOk, "application/json", json{ { "events", events } }.dump());
+  }
+
+  // What the engine has done, for tests to compare with what callers were told.
+  json Work()
+  {
+    const std::scoped_lock lock(this->mutex);
+    return { { "begun", this->begun.load() },
+             { "held_pieces", this->heldPieces },
+             { "cancelled", this->cancelled.size() } };
+  }
+
   json Report()
   {
     const std::scoped_lock lock(this->mutex);
@@ -98,8 +132,8 @@
              { "version", this->version },
              { "adapters", this->adapters },
              { "changing", this->changing },
-             { "running", this->running.load() },
-             { "queued", 0 },
+             { "running", this->slots.Taken() },
+             { "queued", this->slots.Waiting() },
              { "queued_prefill", 0 },
              { "last_order", this->lastOrder },
              { "last_order_done", !this->changing },
@@ -112,7 +146,7 @@
     this->FinishChangeIfDue();
     const std::uint64_t token = aText.at("token");
     json record = aText;
-    record["running"] = this->running.load();
+    record["running"] = this->slots.Taken() + this->slots.Waiting();
     record["accepted"] = false;
     const bool fenced = this->settings.checksFencing && token < this->highestToken;
     const bool repeated = aText.at("order") == this->lastOrder;
@@ -159,9 +193,30 @@
       aExchange.Respond(kUnavailable, "text/plain", "not loaded, or in a change");
       return;
     }
-    ++this->running;
+    ++this->begun;
+    this->slots.Enter(aText.at("priority").get<int>());
+    this->Prefill(aText);
     this->Stream(aExchange, aText);
-    --this->running;
+    this->slots.Leave();
+  }
+
+  void Prefill(const json& aText)
+  {
+    const std::string prompt = aText.at("prompt");
+    const auto pieces =
+      routing::HashPieces({ aText.at("model"), aText.at("version"), aText.at("adapter") }, prompt);
+    std::uint64_t uncached = routing::EstimateTokens(prompt).Number();
+    {
+      const std::scoped_lock lock(this->mutex);
+      const std::size_t held = this->cache.Use(pieces);
+      this->heldPieces += held;
+      uncached -= held * routing::kPieceTokens;
+    }
+    if (this->settings.prefillTokensPerSecond > 0) {
+      const auto speed = static_cast<double>(this->settings.prefillTokensPerSecond);
+      std::this_thread::sleep_for(
+        std::chrono::duration<double>(static_cast<double>(uncached) / speed));
+    }
   }
 
   void Stream(net::HttpExchange& aExchange, const json& aText)
@@ -208,7 +263,10 @@
   json pending;
   bool changing = false;
   std::chrono::steady_clock::time_point changeEndsAt;
-  std::atomic<std::uint64_t> running = 0;
+  fakes::SlotQueue slots;
+  fakes::PrefixCache cache;
+  std::uint64_t heldPieces = 0;
+  std::atomic<std::uint64_t> begun = 0;
   std::atomic<std::int64_t> crashAfterTokens = -1;
 };
 
@@ -228,6 +286,16 @@
   line.Add("change-ms", settings.changeMs, "Time that an order takes; milliseconds", "Engine");
   line.Add(
     "checks-fencing", settings.checksFencing, "Whether old fencing tokens are refused", "Engine");
+  line.Add("slots", settings.slots, "Requests worked on at once; 0 for no bound", "Engine");
+  line.Add("prefill-rate",
+           settings.prefillTokensPerSecond,
+           "Prompt tokens prefilled in a second; 0 for no delay",
+           "Engine");
+  line.Add("cache-pieces", settings.cachePieces, "Pieces that the prefix cache holds", "Engine");
+  line.Add("lost-event-every",
+           settings.lostEventEvery,
+           "Every so many cache events are lost; 0 for none",
+           "Engine");
   if (const auto exitCode = line.Parse(aCount, aArguments); exitCode.has_value()) {
     return *exitCode;
   }
