--- a/bench/model/fleet_model.hpp
+++ b/bench/model/fleet_model.hpp
@@ -71,6 +71,15 @@
     return static_cast<std::size_t>(found - this->names.begin());
   }
 
+  /// @brief Takes an engine out of all views; what it works on goes on.
+  void TakeOut(std::size_t aNumber)
+  {
+    for (const auto& instance : this->instances) {
+      instance->view->engines[aNumber].leaving = true;
+      instance->knowledge.OnLost(this->names[aNumber]);
+    }
+  }
+
   /// @brief Gives the greatest load of any engine.
   std::uint64_t GreatestLoad() const
   {
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint64_t kTailTokens = 1000;
 constexpr std::uint64_t kOutputTokens = 60;
 constexpr double kRequestsPerSecond = 40.0;
+constexpr double kLossRequestsPerSecond = 20.0;
 constexpr Seconds kFirstTokenBound(1.1);
 
 enum class Policy
@@ -35,6 +36,8 @@
   kIndex,
   kIndexOwnOnly,
   kIndexAll,
+  kRing,
+  kRendezvous,
 };
 
 struct PolicyName
@@ -51,6 +54,11 @@
                                      { Policy::kIndexOwnOnly, "index, own sends" },
                                      { Policy::kIndexAll, "index, no sample" } };
 
+// Without regard to load, to show the share that each survivor takes.
+constexpr PolicyName kLossPolicies[] = { { Policy::kRing, "ring neighbour" },
+                                         { Policy::kRendezvous, "rendezvous" },
+                                         { Policy::kIndex, "index (in use)" } };
+
 struct Figures
 {
   std::uint64_t heldTokens = 0;
@@ -117,6 +125,30 @@
   return best == nullptr ? aRanking.front() : *best;
 }
 
+// The prefix's place on the ring of all engines, or the next one that is there.
+const RankedEngine&
+ChooseOnRing(const std::vector<RankedEngine>& aRanking, const bench::FleetModel& aFleet)
+{
+  const std::uint64_t home = aRanking.front().pieces.front() % aFleet.Engines();
+  const auto distance = [&](const RankedEngine& aEngine) {
+    return (aFleet.NumberOf(aEngine.engine.target) + aFleet.Engines() - home) % aFleet.Engines();
+  };
+  return *std::min_element(
+    aRanking.begin(), aRanking.end(), [&](const RankedEngine& aLeft, const RankedEngine& aRight) {
+      return distance(aLeft) < distance(aRight);
+    });
+}
+
+const RankedEngine&
+ChooseHome(const std::vector<RankedEngine>& aRanking)
+{
+  return *std::max_element(
+    aRanking.begin(), aRanking.end(), [](const RankedEngine& aLeft, const RankedEngine& aRight) {
+      return routing::RendezvousWeight(aLeft.engine.target, aLeft.pieces.front()) <
+             routing::RendezvousWeight(aRight.engine.target, aRight.pieces.front());
+    });
+}
+
 const RankedEngine&
 Choose(Policy aPolicy, const std::vector<RankedEngine>& aRanking, core::RandomSource& aRandom)
 {
@@ -134,6 +166,8 @@
       return byLoad(second, first) ? second : first;
     case Policy::kBoundedRendezvous:
       return ChooseBounded(aRanking);
+    case Policy::kRendezvous:
+      return ChooseHome(aRanking);
     default:
       return aRanking.front();
   }
@@ -142,8 +176,9 @@
 class Scenario
 {
 public:
-  Scenario(Policy aPolicy, const bench::FleetSize& aSize)
-    : policy(aPolicy)
+  Scenario(Policy aPolicy, const bench::FleetSize& aSize, double aRate)
+    : rate(aRate)
+    , policy(aPolicy)
     , fleet(this->simulation, aSize, kSeed)
     , arrivals(kSeed + 1)
     , choices(kSeed + 2)
@@ -156,6 +191,15 @@
       aPolicy == Policy::kIndexAll ? aSize.engines : this->options.sampledEngines;
   }
 
+  /// @brief Takes an engine out of the views in the middle of the measured time.
+  void LoseEngine(std::size_t aNumber)
+  {
+    this->simulation.After((kWarmUp + kEnd) / 2.0, [this, aNumber] {
+      this->fleet.TakeOut(aNumber);
+      this->figures = {};
+    });
+  }
+
   Figures Run()
   {
     this->Arrive();
@@ -166,7 +210,7 @@
 private:
   void Arrive()
   {
-    const double gap = -std::log(1.0 - this->arrivals.Fraction()) / kRequestsPerSecond;
+    const double gap = -std::log(1.0 - this->arrivals.Fraction()) / this->rate;
     this->simulation.After(Seconds(gap), [this] {
       this->Handle(this->fleet.AnyInstance(), this->prompts.Draw());
       this->Arrive();
@@ -184,7 +228,10 @@
                                          now,
                                          this->options };
     const auto ranking = routing::RankEngines(*aInstance.view, query, inputs, this->choices);
-    this->Send(aInstance, Choose(this->policy, *ranking, this->choices), aPrompt);
+    const RankedEngine& chosen = this->policy == Policy::kRing
+                                   ? ChooseOnRing(*ranking, this->fleet)
+                                   : Choose(this->policy, *ranking, this->choices);
+    this->Send(aInstance, chosen, aPrompt);
   }
 
   void Send(bench::InstanceModel& aInstance,
@@ -228,6 +275,7 @@
     }
   }
 
+  double rate;
   Policy policy;
   bench::Simulation simulation;
   bench::FleetModel fleet;
@@ -238,26 +286,50 @@
   Figures figures;
 };
 
+double
+SortForP95(std::vector<double>& aFirstTokens)
+{
+  constexpr double kShare = 0.95;
+  std::sort(aFirstTokens.begin(), aFirstTokens.end());
+  const double last = static_cast<double>(aFirstTokens.size() - 1);
+  return aFirstTokens[static_cast<std::size_t>(kShare * last)];
+}
+
+// The worst of all engines to lose counts.
+void
+PrintLossRow(const PolicyName& aPolicy)
+{
+  const bench::FleetSize size;
+  double worstP95 = 0.0;
+  std::uint64_t greatestLoad = 0;
+  for (std::size_t lost = 0; lost < size.engines; ++lost) {
+    Scenario scenario(aPolicy.policy, size, kLossRequestsPerSecond);
+    scenario.LoseEngine(lost);
+    Figures figures = scenario.Run();
+    worstP95 = std::max(worstP95, SortForP95(figures.firstTokens));
+    greatestLoad = std::max(greatestLoad, figures.greatestLoad);
+  }
+  std::printf(
+    "%-20s %9.2f %9llu\n", aPolicy.name, worstP95, static_cast<unsigned long long>(greatestLoad));
+}
+
 void
 PrintRow(const PolicyName& aPolicy, double aLag, double aGap)
 {
   bench::FleetSize size;
   size.reportLag = Seconds(aLag);
   size.gapShare = aGap;
-  Figures figures = Scenario(aPolicy.policy, size).Run();
-  std::sort(figures.firstTokens.begin(), figures.firstTokens.end());
+  Figures figures = Scenario(aPolicy.policy, size, kRequestsPerSecond).Run();
+  const double p95 = SortForP95(figures.firstTokens);
   const auto good = std::upper_bound(
     figures.firstTokens.begin(), figures.firstTokens.end(), kFirstTokenBound.count());
-  constexpr double kShare = 0.95;
-  const auto rank =
-    static_cast<std::size_t>(kShare * static_cast<double>(figures.firstTokens.size() - 1));
   std::printf("%-20s %5.1f %5.0f%% %9.3f %9.1f %9.2f %9llu\n",
               aPolicy.name,
               aLag,
               aGap * 100.0,
               static_cast<double>(figures.heldTokens) / static_cast<double>(figures.promptTokens),
               static_cast<double>(good - figures.firstTokens.begin()) / (kEnd - kWarmUp).count(),
-              figures.firstTokens[rank],
+              p95,
               static_cast<unsigned long long>(figures.greatestLoad));
 }
 
@@ -332,5 +404,10 @@
   for (const std::size_t engines : { 12UL, 20UL, 86UL }) {
     PrintLoss(engines);
   }
+  std::printf("\nfirst token after the loss at 20 requests/s, worst of 12 engines to lose\n");
+  std::printf("%-20s %9s %9s\n", "policy", "p95 s", "max load");
+  for (const PolicyName& policy : kLossPolicies) {
+    PrintLossRow(policy);
+  }
   return 0;
 }
