--- a/include/plantainslip/admission/admission.hpp
+++ b/include/plantainslip/admission/admission.hpp
@@ -35,7 +35,7 @@
 {
   /// @brief Position of the engine in the ranking; nothing if the request is refused.
   std::optional<std::size_t> engine;
-  /// @brief Why it is refused: error 651 (admission.overloaded) or 652
+  /// @brief Why it is refused: error 641 (admission.overloaded) or 642
   ///        (admission.deadline_too_near).
   absl::Status refusal;
   /// @brief After how long a refused caller may find a free slot.
--- a/include/plantainslip/routing/errors.hpp
+++ b/include/plantainslip/routing/errors.hpp
@@ -2,7 +2,7 @@
 
 #include <plantainslip/core/error.hpp>
 
-/// @brief Errors of the routing layer, numbers 600 to 649.
+/// @brief Errors of the routing layer, numbers 600 to 639.
 namespace plantainslip::routing::errors {
 
 /// @brief The configuration has no such deployment or service. Example: a misspelt `model`.
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <thread>
 
+#include <plantainslip/admission/errors.hpp>
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/errors.hpp>
 #include <plantainslip/requests/answer_assembly.hpp>
@@ -113,7 +114,7 @@
     if (!this->HasBegun()) {
       this->version = this->startVersion;
     }
-    const bool admitted = this->assembly.Attempt().Number() > 0;
+    const bool admitted = this->triedEngine || this->outcome != core::Outcome::kNotRun;
     PlacementQuery query{ this->request,  this->version,       this->deadline,   admitted,
                           this->maySpill, this->failedEngines, this->failedPeers };
     NoPlace noPlace;
@@ -182,6 +183,7 @@
   AttemptEnd TryEngine(const routing::RankedEngine& aRanked)
   {
     const control::EngineView& engine = aRanked.engine;
+    this->triedEngine = true;
     this->times = { this->context.clock.Now(), {}, 0 };
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
@@ -358,7 +360,9 @@
   absl::Status Cause() const
   {
     const bool neverTried = this->assembly.Attempt().Number() == 0;
-    if (neverTried || core::IsError(this->failure, errors::kDeadlinePassed)) {
+    const bool notAdmitted = core::IsError(this->failure, admission::errors::kOverloaded) ||
+                             core::IsError(this->failure, admission::errors::kDeadlineTooNear);
+    if (neverTried || notAdmitted || core::IsError(this->failure, errors::kDeadlinePassed)) {
       return this->failure;
     }
     return core::MakeError(errors::kTargetsFailed, this->failure.message());
@@ -382,6 +386,7 @@
   core::MonotonicTime lastTokenAt;
   core::MonotonicTime deadline;
   bool maySpill;
+  bool triedEngine = false;
   std::string startVersion;
   std::string version;
   core::TokenOffset startOffset;
