--- a/include/plantainslip/routing/capacity_book.hpp
+++ b/include/plantainslip/routing/capacity_book.hpp
@@ -63,6 +63,12 @@
   /// @brief Gives by how much waits of a priority exceed those expected from the queue's length.
   double WaitFactor(int aPriority) const;
 
+  /// @brief Takes an attempt that failed.
+  void AddFailure(const core::TargetId& aTarget, core::MonotonicTime aNow);
+
+  /// @brief Gives the engine's recent failures, each of which counts half after every 5 s.
+  double RecentFailures(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
+
   /// @brief Gives what is known of an engine; for an unknown one, the defaults.
   EngineCapacity Of(const core::TargetId& aTarget) const;
 
@@ -71,8 +77,12 @@
   {
     EngineCapacity capacity;
     std::uint64_t attempts = 0;
+    double failures = 0.0;
+    core::MonotonicTime failuresAt;
   };
 
+  static double Decay(const Learned& aLearned, core::MonotonicTime aNow);
+
   mutable std::mutex mutex;
   std::map<core::TargetId, Learned> engines;
   std::map<int, double> waitFactors;
--- a/include/plantainslip/routing/choose_target.hpp
+++ b/include/plantainslip/routing/choose_target.hpp
@@ -45,6 +45,9 @@
   /// @brief Share of the prefill time by which the first engine by rendezvous hashing is preferred,
   ///        so that instances agree on where a new prefix goes.
   double homePreference = 0.8;
+  /// @brief Cost of each recent failure: an engine that fails at once looks idle, and would draw
+  ///        all requests.
+  Seconds failureCost{ 1.0 };
   /// @brief Share of the mismatched phase's time that an engine of the other role costs more.
   double roleMismatch = 0.5;
 };
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -198,6 +198,7 @@
       this->TeachCapacity(aRanked);
     } else if (end == AttemptEnd::kFailed) {
       this->failedEngines.insert(engine.target);
+      this->context.knowledge.capacity.AddFailure(engine.target, this->context.clock.Now());
     } else {
       this->CancelAt(engine);
     }
--- a/src/routing/capacity_book.cpp
+++ b/src/routing/capacity_book.cpp
@@ -1,6 +1,7 @@
 #include <plantainslip/routing/capacity_book.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace plantainslip::routing {
 
@@ -9,6 +10,8 @@
 // Weight of the newest attempt once the average has settled.
 constexpr double kNewestWeight = 0.05;
 constexpr double kFewestSlots = 1.0;
+constexpr Seconds kFailureHalfLife(5.0);
+constexpr double kMostFailures = 16.0;
 constexpr double kLeastWaitFactor = 0.25;
 constexpr double kMostWaitFactor = 8.0;
 // Below this length the fixed costs of a call hide the speed of prefill.
@@ -78,6 +81,30 @@
   return found == this->waitFactors.end() ? 1.0 : found->second;
 }
 
+double
+CapacityBook::Decay(const Learned& aLearned, core::MonotonicTime aNow)
+{
+  const Seconds age = aNow - aLearned.failuresAt;
+  return aLearned.failures * std::exp2(-age / kFailureHalfLife);
+}
+
+void
+CapacityBook::AddFailure(const core::TargetId& aTarget, core::MonotonicTime aNow)
+{
+  const std::scoped_lock lock(this->mutex);
+  Learned& learned = this->engines[aTarget];
+  learned.failures = std::min(Decay(learned, aNow) + 1.0, kMostFailures);
+  learned.failuresAt = aNow;
+}
+
+double
+CapacityBook::RecentFailures(const core::TargetId& aTarget, core::MonotonicTime aNow) const
+{
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->engines.find(aTarget);
+  return found == this->engines.end() ? 0.0 : Decay(found->second, aNow);
+}
+
 EngineCapacity
 CapacityBook::Of(const core::TargetId& aTarget) const
 {
--- a/src/routing/rank_engines.cpp
+++ b/src/routing/rank_engines.cpp
@@ -124,8 +124,10 @@
                         ranked.capacity.prefillTokensPerSecond);
   // Prefill and decoding share the engine, so a fuller engine does both more slowly.
   const double share = std::min(1.0, ranked.outstanding / slots);
-  ranked.cost = ranked.wait + prefill + (prefill + ranked.capacity.tokenInterval) * share +
-                RoleCost(ranked, aQuery, prefill, aInputs.options.roleMismatch);
+  ranked.cost =
+    ranked.wait + prefill + (prefill + ranked.capacity.tokenInterval) * share +
+    RoleCost(ranked, aQuery, prefill, aInputs.options.roleMismatch) +
+    aInputs.options.failureCost * aInputs.capacity.RecentFailures(aEngine.target, aInputs.now);
   return ranked;
 }
 
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -186,6 +186,14 @@
     CHECK(knowledge.Rank("short")->front().outstanding == doctest::Approx(6.0));
   }
 
+  SUBCASE("an engine that has just failed is avoided, and tried again later")
+  {
+    knowledge.capacity.AddFailure(kEngine, kNow);
+    CHECK(knowledge.Rank("short")->front().engine.target.Text() == "engine-2");
+    CHECK(knowledge.capacity.RecentFailures(kEngine, kNow) == doctest::Approx(1.0));
+    CHECK(knowledge.capacity.RecentFailures(kEngine, kNow + std::chrono::minutes(2)) < 0.001);
+  }
+
   SUBCASE("prefixes that nobody holds go to the same engine from every instance")
   {
     std::set<std::string> chosen;
