--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <thread>
 
+#include <plantainslip/admission/errors.hpp>
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/errors.hpp>
 #include <plantainslip/requests/answer_assembly.hpp>
@@ -114,7 +115,7 @@
     if (!this->HasBegun()) {
       this->version = this->startVersion;
     }
-    const bool admitted = this->assembly.Attempt().Number() > 0;
+    const bool admitted = this->triedEngine || this->outcome != core::Outcome::kNotRun;
     PlacementQuery query{ this->request,  this->version,         this->deadline,   admitted,
                           this->maySpill, this->FailedEngines(), this->failedPeers };
     NoPlace noPlace;
@@ -220,6 +221,7 @@
   AttemptEnd TryEngine(const routing::RankedEngine& aRanked)
   {
     const control::EngineView& engine = aRanked.engine;
+    this->triedEngine = true;
     this->times = { this->context.clock.Now(), {}, 0 };
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
@@ -232,6 +234,7 @@
       this->TeachCapacity(aRanked);
     } else if (end == AttemptEnd::kFailed) {
       this->failedAt[engine.target] = this->context.clock.Now();
+      this->context.knowledge.capacity.AddFailure(engine.target, this->context.clock.Now());
     } else {
       this->CancelAt(engine);
     }
@@ -405,7 +408,9 @@
   absl::Status Cause() const
   {
     const bool neverTried = this->assembly.Attempt().Number() == 0;
-    if (neverTried || core::IsError(this->failure, errors::kDeadlinePassed)) {
+    const bool notAdmitted = core::IsError(this->failure, admission::errors::kOverloaded) ||
+                             core::IsError(this->failure, admission::errors::kDeadlineTooNear);
+    if (neverTried || notAdmitted || core::IsError(this->failure, errors::kDeadlinePassed)) {
       return this->failure;
     }
     return core::MakeError(errors::kTargetsFailed, this->failure.message());
@@ -429,6 +434,7 @@
   core::MonotonicTime lastTokenAt;
   core::MonotonicTime deadline;
   bool maySpill;
+  bool triedEngine = false;
   std::string startVersion;
   std::string version;
   core::TokenOffset startOffset;
