--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -39,6 +39,16 @@
   std::uint64_t tokens = 0;
 };
 
+// Callers may send any name, so only configured ones are counted apart.
+observe::DeploymentCounters&
+CountersOf(RequestContext& aContext, const core::DeploymentName& aDeployment)
+{
+  const auto view = aContext.board.Current();
+  const bool known =
+    view->configuration != nullptr && view->configuration->deployments.contains(aDeployment);
+  return aContext.deployments.Of(known ? aDeployment : core::DeploymentName("unknown"));
+}
+
 // One completion from its first attempt to its end.
 class CompletionRun
 {
@@ -52,6 +62,7 @@
     , requestId(aStart.request)
     , sink(aSink)
     , assembly(aStart.request, aStart.offset)
+    , counters(CountersOf(aContext, aRequest.deployment))
     , begunAt(aContext.clock.Now())
     , lastTokenAt(this->begunAt)
     , deadline(this->begunAt + aRequest.deadline)
@@ -63,6 +74,14 @@
   }
 
   RequestEnd Run()
+  {
+    const RequestEnd end = this->RunToEnd();
+    this->counters.CountEnd(end);
+    return end;
+  }
+
+private:
+  RequestEnd RunToEnd()
   {
     this->context.retryBudget.AddRequest();
     for (;;) {
@@ -86,7 +105,6 @@
     }
   }
 
-private:
   bool HasBegun() const { return this->assembly.Offset() != core::TokenOffset(); }
 
   std::optional<Placement> Place()
@@ -266,13 +284,16 @@
     const core::MonotonicTime now = this->context.clock.Now();
     if (aChunk.offset == this->startOffset) {
       this->context.firstToken.Record(now - this->begunAt);
+      this->counters.CountFirstToken(now - this->begunAt);
     } else {
       this->context.betweenTokens.Record(now - this->lastTokenAt);
+      this->counters.CountTokenGap(now - this->lastTokenAt);
     }
     this->lastTokenAt = now;
     if (this->times.tokens++ == 0) {
       this->times.firstTokenAt = now;
     }
+    this->lastTokenAt = now;
     return this->sink.Text(aChunk.offset, aChunk.text);
   }
 
@@ -343,6 +364,7 @@
   core::RequestId requestId;
   AnswerSink& sink;
   AnswerAssembly assembly;
+  observe::DeploymentCounters& counters;
   core::MonotonicTime begunAt;
   core::MonotonicTime lastTokenAt;
   core::MonotonicTime deadline;
