Limit workspaces over all instances by leased shares

Cause: limits of workspaces stood in the configuration and nothing kept them.

Change: each instance admits from token buckets that it fills by its share of the limit. A tenth of a limit is divided equally; the rest lies in the pools of two owners by rendezvous hashing, which lease shares out by reported demand. A share moves only after its holder has reported that it uses less or its lease has ended, so lost messages, lost instances and cut zones never add up to more than the limit. Refused as 429 and not_run with Retry-After, before routing. No call is made on the request's path.

Instances now give back what their demand does not need in the report itself.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -6,6 +6,7 @@
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/limits/limit_gate.hpp>
 #include <plantainslip/net/http_server.hpp>
 #include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/peers/peer_server.hpp>
@@ -94,6 +95,9 @@
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
+  handlers.calls[limits::kReportMessage] = [&aContext](const std::string& aBody) {
+    return aContext.limits->HandleReport(aBody);
+  };
   handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
                                                        const peers::SendPiece& aSend) {
     return requests::HandleSpilledCompletion(aContext, aBody, aSend);
@@ -147,6 +151,9 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
+  const auto limitGate = limits::MakeLimitGate(
+    {}, self, { clock, *peerClient, [&] { return board.Current()->entries; } });
+  context.limits = limitGate.get();
   const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
   if (!peerServer.ok()) {
     std::cerr << peerServer.status().message() << "\n";
--- /dev/null
+++ b/include/plantainslip/limits/errors.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <plantainslip/core/error.hpp>
+
+/// @brief Errors of the limits layer, numbers 850 to 899.
+namespace plantainslip::limits::errors {
+
+/// @brief A message between peers cannot be read. Example: truncated CBOR.
+inline constexpr core::ErrorDescription kBadMessage{ 851,
+                                                     "limits.bad_message",
+                                                     absl::StatusCode::kInvalidArgument };
+/// @brief The workspace's limit is used up. Example: the second request of a second at a limit of
+/// one.
+inline constexpr core::ErrorDescription kLimited{ 852,
+                                                  "limits.limited",
+                                                  absl::StatusCode::kResourceExhausted };
+
+} // namespace plantainslip::limits::errors
--- /dev/null
+++ b/include/plantainslip/limits/share_owner.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <unordered_map>
+
+#include <plantainslip/core/clock.hpp>
+#include <plantainslip/limits/limit_gossip.hpp>
+#include <plantainslip/limits/limit_options.hpp>
+
+namespace plantainslip::limits {
+
+/// @brief Leases out the pools of the workspaces that this instance owns. No I/O, one thread.
+///
+/// The shares that are out, counted with those that an instance may still use, never exceed the
+/// pool: a share that is taken from one instance is given to another only after the first has
+/// reported that it uses less, or after its lease has ended.
+class ShareOwner
+{
+public:
+  explicit ShareOwner(LimitOptions aOptions)
+    : options(aOptions)
+  {
+  }
+
+  /// @brief Answers a report with shares in proportion to demand, as far as the pool is free.
+  /// @return one share for each line; linear in the lines and in each workspace's holders
+  ShareGrant Handle(const DemandReport& aReport, core::MonotonicTime aNow);
+
+  /// @brief Forgets leases that have ended. Linear in the number of leases.
+  void Prune(core::MonotonicTime aNow);
+
+  /// @brief Gives the number of leases that are kept.
+  std::size_t Leases() const;
+
+private:
+  struct Lease
+  {
+    double demand = 0.0;
+    /// @brief Largest share that the instance may be using.
+    double counted = 0.0;
+    core::MonotonicTime until;
+  };
+  using Leaseholders = std::map<core::InstanceId, Lease>;
+
+  double GrantShare(Leaseholders& aHolders,
+                    const core::InstanceId& aInstance,
+                    const DemandLine& aLine,
+                    core::MonotonicTime aNow) const;
+
+  LimitOptions options;
+  std::unordered_map<std::uint64_t, Leaseholders> holders;
+};
+
+} // namespace plantainslip::limits
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -8,6 +8,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/limits/limit_gate.hpp>
 #include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
@@ -55,6 +56,8 @@
   routing::RoutingOptions routing{};
   admission::AdmissionOptions admission{};
   retries::RetryBudget retryBudget{};
+  /// @brief Limits of workspaces; null admits everything.
+  limits::LimitGate* limits = nullptr;
 };
 
 } // namespace plantainslip::requests
--- /dev/null
+++ b/src/limits/limit_gate.cpp
@@ -0,0 +1,129 @@
+#include <plantainslip/limits/limit_gate.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include <plantainslip/limits/share_owner.hpp>
+
+namespace plantainslip::limits {
+
+namespace {
+
+constexpr std::size_t kCallThreads = 8;
+constexpr std::chrono::milliseconds kPeerTimeout{ 500 };
+
+class PeerLimitGate final : public LimitGate
+{
+public:
+  PeerLimitGate(const LimitOptions& aOptions, const core::InstanceId& aSelf, LimitPorts aPorts)
+    : options(aOptions)
+    , self(aSelf)
+    , ports(std::move(aPorts))
+    , buckets(aOptions, aSelf)
+    , owner(aOptions)
+    , exchanger([this](const std::stop_token& aStop) { this->Run(aStop); })
+  {
+  }
+
+  LimitDecision Admit(const core::WorkspaceId& aWorkspace,
+                      const config::WorkspaceLimit& aLimit,
+                      core::TokenCount aTokens) override
+  {
+    const std::scoped_lock lock(this->mutex);
+    return this->buckets.Admit(aWorkspace, aLimit, aTokens, this->ports.clock.Now());
+  }
+
+  absl::StatusOr<std::string> HandleReport(const std::string& aBody) override
+  {
+    const auto report = DecodeReport(aBody);
+    if (!report.ok()) {
+      return report.status();
+    }
+    const std::scoped_lock lock(this->mutex);
+    return EncodeGrant(this->owner.Handle(*report, this->ports.clock.Now()));
+  }
+
+  void Exchange() override
+  {
+    std::map<core::InstanceId, net::Address> addresses;
+    std::vector<core::InstanceId> instances;
+    for (const control::EntryView& entry : this->ports.listEntries()) {
+      instances.push_back(entry.instance);
+      addresses[entry.instance] = entry.peerAddress;
+    }
+    boost::asio::thread_pool calls(kCallThreads);
+    for (const auto& [to, report] : this->MakeReports(std::move(instances))) {
+      if (addresses[to].port == 0) {
+        continue;
+      }
+      boost::asio::post(calls, [this, to = to, report = report, address = addresses[to]] {
+        this->Report(to, address, report);
+      });
+    }
+    calls.join();
+  }
+
+private:
+  // What this instance owns itself is settled here; the rest is for its peers.
+  std::map<core::InstanceId, DemandReport> MakeReports(std::vector<core::InstanceId> aInstances)
+  {
+    const std::scoped_lock lock(this->mutex);
+    const core::MonotonicTime now = this->ports.clock.Now();
+    this->buckets.AdoptInstances(std::move(aInstances));
+    this->owner.Prune(now);
+    auto reports = this->buckets.MakeReports(now);
+    if (const auto own = reports.find(this->self); own != reports.end()) {
+      this->buckets.AdoptGrant(this->self, this->owner.Handle(own->second, now), now, now);
+      reports.erase(own);
+    }
+    return reports;
+  }
+
+  void Report(const core::InstanceId& aOwner,
+              const net::Address& aAddress,
+              const DemandReport& aReport)
+  {
+    const core::MonotonicTime sentAt = this->ports.clock.Now();
+    const auto answer =
+      this->ports.peers.Call(aAddress, kReportMessage, EncodeReport(aReport), kPeerTimeout);
+    const auto grant = answer.ok() ? DecodeGrant(*answer) : answer.status();
+    if (grant.ok()) {
+      const std::scoped_lock lock(this->mutex);
+      this->buckets.AdoptGrant(aOwner, *grant, sentAt, this->ports.clock.Now());
+    }
+  }
+
+  void Run(const std::stop_token& aStop)
+  {
+    std::mutex turnMutex;
+    std::condition_variable_any turn;
+    std::unique_lock lock(turnMutex);
+    while (!aStop.stop_requested()) {
+      turn.wait_for(lock, aStop, this->options.reportInterval, [] { return false; });
+      this->Exchange();
+    }
+  }
+
+  LimitOptions options;
+  core::InstanceId self;
+  LimitPorts ports;
+  std::mutex mutex;
+  WorkspaceBuckets buckets;
+  ShareOwner owner;
+  // Declared last, so that the thread ends before what it uses.
+  std::jthread exchanger;
+};
+
+} // namespace
+
+std::unique_ptr<LimitGate>
+MakeLimitGate(const LimitOptions& aOptions, const core::InstanceId& aSelf, LimitPorts aPorts)
+{
+  return std::make_unique<PeerLimitGate>(aOptions, aSelf, std::move(aPorts));
+}
+
+} // namespace plantainslip::limits
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/limits/errors.hpp>
 #include <plantainslip/net/errors.hpp>
 #include <plantainslip/requests/answer_assembly.hpp>
 #include <plantainslip/requests/answer_sink.hpp>
@@ -392,6 +393,22 @@
                          body.status().message());
 }
 
+// A request is charged where it comes in, with all tokens that it may take.
+limits::LimitDecision
+AskLimit(RequestContext& aContext, const CompletionRequest& aRequest)
+{
+  const auto view = aContext.board.Current();
+  if (aContext.limits == nullptr || view->configuration == nullptr) {
+    return {};
+  }
+  const config::Configuration& configuration = *view->configuration;
+  const auto own = configuration.limits.find(aRequest.workspace);
+  const config::WorkspaceLimit& limit =
+    own == configuration.limits.end() ? configuration.defaultLimit : own->second;
+  const core::TokenCount tokens(aRequest.maxTokens.Number() - aRequest.resumeOffset.Number());
+  return aContext.limits->Admit(aRequest.workspace, limit, tokens);
+}
+
 } // namespace
 
 RequestEnd
@@ -416,6 +433,12 @@
     const Problem problem{ usable, core::Outcome::kNotRun, aRequest };
     return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
   }
+  const limits::LimitDecision limit = AskLimit(aContext, *request);
+  if (!limit.admitted) {
+    const absl::Status cause = core::MakeError(limits::errors::kLimited, request->workspace.Text());
+    const Problem problem{ cause, core::Outcome::kNotRun, aRequest, limit.retryAfter };
+    return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
+  }
   const std::string model = request->deployment.Text();
   const auto sink = request->stream ? MakeEventSink(aExchange, aRequest, model)
                                     : MakeJsonSink(aExchange, aRequest, model);
