Ask owners for sparse requests in place of leasing them shares

Change: workspaces with fewer than three requests a second at an instance are not reported; a request that finds the bucket empty is asked for at the owners, which let it through on what is not leased.

The process test counted one request for each instance; the bound now names one for each owner too, and the test counts all that is admitted against it.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -101,6 +101,9 @@
   handlers.calls[limits::kReportMessage] = [&aContext](const std::string& aBody) {
     return aContext.limits->HandleReport(aBody);
   };
+  handlers.calls[limits::kAskMessage] = [&aContext](const std::string& aBody) {
+    return aContext.limits->HandleAsk(aBody);
+  };
   handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
                                                        const peers::SendPiece& aSend) {
     return requests::HandleSpilledCompletion(aContext, aBody, aSend);
--- a/include/plantainslip/limits/limit_gate.hpp
+++ b/include/plantainslip/limits/limit_gate.hpp
@@ -16,6 +16,9 @@
 /// @brief Kind of the peers' message that carries a report of demand.
 inline constexpr const char* kReportMessage = "limit_report";
 
+/// @brief Kind of the peers' message that asks an owner to let one request through.
+inline constexpr const char* kAskMessage = "limit_ask";
+
 /// @brief The limits of all workspaces at one instance, kept in step with its peers.
 /// @note Safe from any thread.
 class LimitGate
@@ -23,7 +26,8 @@
 public:
   virtual ~LimitGate() = default;
 
-  /// @brief Decides on one request by what this instance holds; calls nobody. Constant time.
+  /// @brief Decides on one request by what this instance holds, or else by what an owner lets
+  ///        through; then it blocks on the peer for a moment.
   virtual LimitDecision Admit(const core::WorkspaceId& aWorkspace,
                               const config::WorkspaceLimit& aLimit,
                               core::TokenCount aTokens) = 0;
@@ -32,6 +36,10 @@
   /// @return the grant's CBOR, or error 851 (limits.bad_message)
   virtual absl::StatusOr<std::string> HandleReport(const std::string& aBody) = 0;
 
+  /// @brief Answers a peer's #kAskMessage.
+  /// @return the decision's CBOR, or error 851 (limits.bad_message)
+  virtual absl::StatusOr<std::string> HandleAsk(const std::string& aBody) = 0;
+
   /// @brief Reports demand to all owners and takes their grants. Blocks on the peers.
   virtual void Exchange() = 0;
 };
--- a/include/plantainslip/limits/limit_gossip.hpp
+++ b/include/plantainslip/limits/limit_gossip.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include <absl/status/statusor.h>
 
+#include <plantainslip/config/configuration.hpp>
 #include <plantainslip/core/ids.hpp>
 
 namespace plantainslip::limits {
@@ -47,6 +49,25 @@
   std::vector<GrantLine> lines;
 };
 
+/// @brief Whether a request may pass its workspace's limit.
+struct LimitDecision
+{
+  bool admitted = true;
+  /// @brief If not: after how long there may be room where it was asked.
+  std::chrono::milliseconds wait{ 0 };
+
+  /// @brief Gives the wait in whole seconds, at least one, for `Retry-After`.
+  std::chrono::seconds RetryAfter() const;
+};
+
+/// @brief Asks an owner to let one request through on the part of its pool that is not leased out.
+struct LimitAsk
+{
+  WorkspaceHash workspace;
+  config::WorkspaceLimit limit;
+  core::TokenCount tokens;
+};
+
 /// @brief Finds the owners of a workspace by rendezvous hashing.
 /// @param aInstances  all listed instances, in any order
 /// @param aCount  number of owners
@@ -66,6 +87,24 @@
 absl::StatusOr<DemandReport>
 DecodeReport(const std::string& aBody);
 
+/// @brief Writes a question as CBOR. Constant time.
+std::string
+EncodeAsk(const LimitAsk& aAsk);
+
+/// @brief Reads a question.
+/// @return the question, or error 851 (limits.bad_message)
+absl::StatusOr<LimitAsk>
+DecodeAsk(const std::string& aBody);
+
+/// @brief Writes a decision as CBOR. Constant time.
+std::string
+EncodeDecision(const LimitDecision& aDecision);
+
+/// @brief Reads a decision.
+/// @return the decision, or error 851 (limits.bad_message)
+absl::StatusOr<LimitDecision>
+DecodeDecision(const std::string& aBody);
+
 /// @brief Writes a grant as CBOR. Linear in the number of lines.
 std::string
 EncodeGrant(const ShareGrant& aGrant);
--- a/include/plantainslip/limits/share_owner.hpp
+++ b/include/plantainslip/limits/share_owner.hpp
@@ -7,6 +7,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/limits/limit_gossip.hpp>
 #include <plantainslip/limits/limit_options.hpp>
+#include <plantainslip/limits/rate_bucket.hpp>
 
 namespace plantainslip::limits {
 
@@ -27,6 +28,10 @@
   /// @return one share for each line; linear in the lines and in each workspace's holders
   ShareGrant Handle(const DemandReport& aReport, core::MonotonicTime aNow);
 
+  /// @brief Lets one request through on what is not leased out, or refuses it. Linear in the
+  ///        workspace's holders.
+  LimitDecision Ask(const LimitAsk& aAsk, core::MonotonicTime aNow);
+
   /// @brief Forgets leases that have ended. Linear in the number of leases.
   void Prune(core::MonotonicTime aNow);
 
@@ -43,13 +48,25 @@
   };
   using Leaseholders = std::map<core::InstanceId, Lease>;
 
+  struct Owned
+  {
+    Leaseholders holders;
+    /// @brief Filled by the part of the pool that is not leased out.
+    RateBucket unleased;
+    core::MonotonicTime askedAt;
+  };
+
+  double Unleased(const Owned& aOwned) const;
+  void Fill(Owned& aOwned, core::MonotonicTime aNow) const;
+  void Settle(Owned& aOwned, core::MonotonicTime aNow) const;
+
   double GrantShare(Leaseholders& aHolders,
                     const core::InstanceId& aInstance,
                     const DemandLine& aLine,
                     core::MonotonicTime aNow) const;
 
   LimitOptions options;
-  std::unordered_map<std::uint64_t, Leaseholders> holders;
+  std::unordered_map<std::uint64_t, Owned> owned;
 };
 
 } // namespace plantainslip::limits
--- a/include/plantainslip/limits/workspace_buckets.hpp
+++ b/include/plantainslip/limits/workspace_buckets.hpp
@@ -10,20 +10,13 @@
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/limits/limit_gossip.hpp>
 #include <plantainslip/limits/limit_options.hpp>
+#include <plantainslip/limits/rate_bucket.hpp>
 
 namespace plantainslip::limits {
 
-/// @brief Whether a request may pass its workspace's limit.
-struct LimitDecision
-{
-  bool admitted = true;
-  /// @brief If not: after how long this instance expects to have room.
-  std::chrono::seconds retryAfter{ 1 };
-};
-
 /// @brief Token buckets of the workspaces that this instance serves. No I/O, one thread.
 /// @note In any time T all instances together admit at most the limit times (T + burst) and one
-///       request for each instance.
+///       request for each instance and each owner.
 class WorkspaceBuckets
 {
 public:
@@ -41,6 +34,18 @@
                       core::TokenCount aTokens,
                       core::MonotonicTime aNow);
 
+  /// @brief Gives the owners that are to be asked for a request which was refused here, in the
+  /// order
+  ///        in which this instance asks them; none if they refused one a moment ago.
+  std::vector<core::InstanceId> WhomToAsk(const core::WorkspaceId& aWorkspace,
+                                          core::MonotonicTime aNow) const;
+
+  /// @brief Notes that all owners refused a request, so that none is asked before there may be
+  /// room.
+  void NoteRefusal(const core::WorkspaceId& aWorkspace,
+                   std::chrono::milliseconds aWait,
+                   core::MonotonicTime aNow);
+
   /// @brief Ends an interval of demand and forgets idle workspaces.
   /// @return reports by owner, this instance included; linear in the number of workspaces
   std::map<core::InstanceId, DemandReport> MakeReports(core::MonotonicTime aNow);
@@ -65,21 +70,20 @@
 
   struct Bucket
   {
-    config::WorkspaceLimit limit;
-    double requests = 0.0;
-    double tokens = 0.0;
+    RateBucket rate;
     double askedRequests = 0.0;
     double askedTokens = 0.0;
     double demand = 0.0;
-    core::MonotonicTime filledAt;
+    /// @brief Requests in an interval, averaged.
+    double arrivals = 0.0;
     core::MonotonicTime usedAt;
+    core::MonotonicTime asksAgainAt;
     std::vector<Lease> leases;
   };
 
   double Floor() const;
   double ShareAt(const Bucket& aBucket, core::MonotonicTime aNow) const;
   void Fill(Bucket& aBucket, core::MonotonicTime aNow) const;
-  void Cap(Bucket& aBucket, double aShare) const;
   Bucket& BucketOf(const core::WorkspaceId& aWorkspace,
                    const config::WorkspaceLimit& aLimit,
                    core::MonotonicTime aNow);
--- a/src/limits/limit_gate.cpp
+++ b/src/limits/limit_gate.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/thread_pool.hpp>
 
 #include <plantainslip/limits/share_owner.hpp>
+#include <plantainslip/peers/errors.hpp>
 
 namespace plantainslip::limits {
 
@@ -15,6 +16,8 @@
 
 constexpr std::size_t kCallThreads = 8;
 constexpr std::chrono::milliseconds kPeerTimeout{ 500 };
+// A request waits for this long at most, once for each owner.
+constexpr std::chrono::milliseconds kAskTimeout{ 100 };
 
 class PeerLimitGate final : public LimitGate
 {
@@ -33,8 +36,29 @@
                       const config::WorkspaceLimit& aLimit,
                       core::TokenCount aTokens) override
   {
+    std::vector<core::InstanceId> owners;
+    LimitDecision decision;
+    {
+      const std::scoped_lock lock(this->mutex);
+      const core::MonotonicTime now = this->ports.clock.Now();
+      decision = this->buckets.Admit(aWorkspace, aLimit, aTokens, now);
+      if (!decision.admitted) {
+        owners = this->buckets.WhomToAsk(aWorkspace, now);
+      }
+    }
+    return owners.empty()
+             ? decision
+             : this->AskOwners(owners, aWorkspace, { HashWorkspace(aWorkspace), aLimit, aTokens });
+  }
+
+  absl::StatusOr<std::string> HandleAsk(const std::string& aBody) override
+  {
+    const auto ask = DecodeAsk(aBody);
+    if (!ask.ok()) {
+      return ask.status();
+    }
     const std::scoped_lock lock(this->mutex);
-    return this->buckets.Admit(aWorkspace, aLimit, aTokens, this->ports.clock.Now());
+    return EncodeDecision(this->owner.Ask(*ask, this->ports.clock.Now()));
   }
 
   absl::StatusOr<std::string> HandleReport(const std::string& aBody) override
@@ -68,6 +92,41 @@
   }
 
 private:
+  LimitDecision AskOwners(const std::vector<core::InstanceId>& aOwners,
+                          const core::WorkspaceId& aWorkspace,
+                          const LimitAsk& aAsk)
+  {
+    LimitDecision decision{ false, this->options.reportInterval };
+    for (const core::InstanceId& asked : aOwners) {
+      const auto answer = this->AskOwner(asked, aAsk);
+      if (answer.ok() && answer->admitted) {
+        return *answer;
+      }
+      if (answer.ok()) {
+        decision.wait = std::min(decision.wait, answer->wait);
+      }
+    }
+    const std::scoped_lock lock(this->mutex);
+    this->buckets.NoteRefusal(aWorkspace, decision.wait, this->ports.clock.Now());
+    return decision;
+  }
+
+  absl::StatusOr<LimitDecision> AskOwner(const core::InstanceId& aOwner, const LimitAsk& aAsk)
+  {
+    if (aOwner == this->self) {
+      const std::scoped_lock lock(this->mutex);
+      return this->owner.Ask(aAsk, this->ports.clock.Now());
+    }
+    for (const control::EntryView& entry : this->ports.listEntries()) {
+      if (entry.instance == aOwner && entry.peerAddress.port != 0) {
+        const auto answer =
+          this->ports.peers.Call(entry.peerAddress, kAskMessage, EncodeAsk(aAsk), kAskTimeout);
+        return answer.ok() ? DecodeDecision(*answer) : answer.status();
+      }
+    }
+    return core::MakeError(peers::errors::kUnreachable, aOwner.Text());
+  }
+
   // What this instance owns itself is settled here; the rest is for its peers.
   std::map<core::InstanceId, DemandReport> MakeReports(std::vector<core::InstanceId> aInstances)
   {
--- a/src/limits/limit_gossip.cpp
+++ b/src/limits/limit_gossip.cpp
@@ -31,6 +31,12 @@
 
 } // namespace
 
+std::chrono::seconds
+LimitDecision::RetryAfter() const
+{
+  return std::max(std::chrono::seconds(1), std::chrono::ceil<std::chrono::seconds>(this->wait));
+}
+
 WorkspaceHash
 HashWorkspace(const core::WorkspaceId& aWorkspace)
 {
@@ -84,6 +90,46 @@
   }
 }
 
+std::string
+EncodeAsk(const LimitAsk& aAsk)
+{
+  return ToText({ aAsk.workspace.Number(),
+                  static_cast<float>(aAsk.limit.requestsPerSecond),
+                  static_cast<float>(aAsk.limit.tokensPerSecond),
+                  aAsk.tokens.Number() });
+}
+
+absl::StatusOr<LimitAsk>
+DecodeAsk(const std::string& aBody)
+{
+  try {
+    const json message = json::from_cbor(aBody);
+    return LimitAsk{ WorkspaceHash(message.at(0).get<std::uint64_t>()),
+                     { ReadShare(message.at(1)), ReadShare(message.at(2)) },
+                     core::TokenCount(message.at(3).get<std::uint64_t>()) };
+  } catch (const json::exception& problem) {
+    return core::MakeError(errors::kBadMessage, problem.what());
+  }
+}
+
+std::string
+EncodeDecision(const LimitDecision& aDecision)
+{
+  return ToText({ aDecision.admitted, aDecision.wait.count() });
+}
+
+absl::StatusOr<LimitDecision>
+DecodeDecision(const std::string& aBody)
+{
+  try {
+    const json message = json::from_cbor(aBody);
+    return LimitDecision{ message.at(0).get<bool>(),
+                          std::chrono::milliseconds(message.at(1).get<std::int64_t>()) };
+  } catch (const json::exception& problem) {
+    return core::MakeError(errors::kBadMessage, problem.what());
+  }
+}
+
 std::string
 EncodeGrant(const ShareGrant& aGrant)
 {
--- a/src/limits/share_owner.cpp
+++ b/src/limits/share_owner.cpp
@@ -4,19 +4,67 @@
 
 namespace plantainslip::limits {
 
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+} // namespace
+
+double
+ShareOwner::Unleased(const Owned& aOwned) const
+{
+  double share = this->options.Pool();
+  for (const auto& [instance, lease] : aOwned.holders) {
+    share -= lease.counted;
+  }
+  return std::max(share, 0.0);
+}
+
+// A lease that ended meanwhile counts as held to the end, so nothing is given out twice.
+void
+ShareOwner::Fill(Owned& aOwned, core::MonotonicTime aNow) const
+{
+  const Seconds passed = aNow - aOwned.unleased.filledAt;
+  const double share = this->Unleased(aOwned);
+  aOwned.unleased.Fill(share * passed.count(), share * Seconds(this->options.burst).count(), aNow);
+}
+
+void
+ShareOwner::Settle(Owned& aOwned, core::MonotonicTime aNow) const
+{
+  this->Fill(aOwned, aNow);
+  std::erase_if(aOwned.holders, [&](const auto& aEntry) { return aEntry.second.until <= aNow; });
+}
+
 ShareGrant
 ShareOwner::Handle(const DemandReport& aReport, core::MonotonicTime aNow)
 {
   ShareGrant grant;
   for (const DemandLine& line : aReport.lines) {
-    Leaseholders& leaseholders = this->holders[line.workspace.Number()];
-    std::erase_if(leaseholders, [&](const auto& aEntry) { return aEntry.second.until <= aNow; });
-    const double share = this->GrantShare(leaseholders, aReport.instance, line, aNow);
+    Owned& workspace = this->owned[line.workspace.Number()];
+    this->Settle(workspace, aNow);
+    const double share = this->GrantShare(workspace.holders, aReport.instance, line, aNow);
+    // What was saved up is cut to the part that is left.
+    this->Fill(workspace, aNow);
     grant.lines.push_back({ line.workspace, static_cast<float>(share) });
   }
   return grant;
 }
 
+LimitDecision
+ShareOwner::Ask(const LimitAsk& aAsk, core::MonotonicTime aNow)
+{
+  const auto [found, isNew] = this->owned.try_emplace(aAsk.workspace.Number());
+  Owned& workspace = found->second;
+  if (isNew) {
+    workspace.unleased.filledAt = aNow;
+  }
+  this->Settle(workspace, aNow);
+  workspace.unleased.limit = aAsk.limit;
+  workspace.askedAt = aNow;
+  return workspace.unleased.Take(aAsk.tokens, this->Unleased(workspace));
+}
+
 double
 ShareOwner::GrantShare(Leaseholders& aHolders,
                        const core::InstanceId& aInstance,
@@ -43,18 +91,21 @@
 void
 ShareOwner::Prune(core::MonotonicTime aNow)
 {
-  for (auto& [workspace, leaseholders] : this->holders) {
-    std::erase_if(leaseholders, [&](const auto& aEntry) { return aEntry.second.until <= aNow; });
+  for (auto& [hash, workspace] : this->owned) {
+    this->Settle(workspace, aNow);
   }
-  std::erase_if(this->holders, [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(this->owned, [&](const auto& aEntry) {
+    const Owned& workspace = aEntry.second;
+    return workspace.holders.empty() && aNow - workspace.askedAt >= this->options.idleTime;
+  });
 }
 
 std::size_t
 ShareOwner::Leases() const
 {
   std::size_t count = 0;
-  for (const auto& [workspace, leaseholders] : this->holders) {
-    count += leaseholders.size();
+  for (const auto& [hash, workspace] : this->owned) {
+    count += workspace.holders.size();
   }
   return count;
 }
--- a/src/limits/workspace_buckets.cpp
+++ b/src/limits/workspace_buckets.cpp
@@ -1,7 +1,6 @@
 #include <plantainslip/limits/workspace_buckets.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace plantainslip::limits {
 
@@ -9,13 +8,13 @@
 
 using Seconds = std::chrono::duration<double>;
 
-constexpr std::chrono::seconds kLongestRetryAfter{ 60 };
+constexpr std::chrono::milliseconds kShortestAskPause{ 50 };
+// Requests in an interval from which on a lease costs less than asking for each.
+constexpr double kDenseArrivals = 3.0;
 // Weight of the newest interval in the estimate of demand.
 constexpr double kNewest = 0.7;
 // An instance keeps this multiple of its demand when it gives shares back.
 constexpr double kSlack = 1.5;
-// Demand below this share of a limit is not worth a message.
-constexpr double kLeastDemand = 1e-4;
 
 } // namespace
 
@@ -53,28 +52,17 @@
   return share;
 }
 
-void
-WorkspaceBuckets::Cap(Bucket& aBucket, double aShare) const
-{
-  const double saved = aShare * Seconds(this->options.burst).count();
-  aBucket.requests =
-    std::min(aBucket.requests, std::max(1.0, aBucket.limit.requestsPerSecond * saved));
-  aBucket.tokens = std::min(aBucket.tokens, std::max(1.0, aBucket.limit.tokensPerSecond * saved));
-}
-
 // Each lease adds its share for the time in which it held.
 void
 WorkspaceBuckets::Fill(Bucket& aBucket, core::MonotonicTime aNow) const
 {
-  double shareSeconds = this->Floor() * Seconds(aNow - aBucket.filledAt).count();
+  double shareSeconds = this->Floor() * Seconds(aNow - aBucket.rate.filledAt).count();
   for (const Lease& lease : aBucket.leases) {
-    const Seconds held = std::min(aNow, lease.until) - aBucket.filledAt;
+    const Seconds held = std::min(aNow, lease.until) - aBucket.rate.filledAt;
     shareSeconds += lease.share * std::max(held.count(), 0.0);
   }
-  aBucket.requests += aBucket.limit.requestsPerSecond * shareSeconds;
-  aBucket.tokens += aBucket.limit.tokensPerSecond * shareSeconds;
-  aBucket.filledAt = aNow;
-  this->Cap(aBucket, this->ShareAt(aBucket, aNow));
+  const double saved = this->ShareAt(aBucket, aNow) * Seconds(this->options.burst).count();
+  aBucket.rate.Fill(shareSeconds, saved, aNow);
 }
 
 WorkspaceBuckets::Bucket&
@@ -85,12 +73,10 @@
   const auto [found, isNew] = this->buckets.try_emplace(HashWorkspace(aWorkspace).Number());
   Bucket& bucket = found->second;
   if (isNew) {
-    bucket.filledAt = aNow;
-    bucket.requests = 1.0;
-    bucket.tokens = 1.0;
+    bucket.rate.filledAt = aNow;
   }
   this->Fill(bucket, aNow);
-  bucket.limit = aLimit;
+  bucket.rate.limit = aLimit;
   bucket.usedAt = aNow;
   return bucket;
 }
@@ -101,33 +87,40 @@
                         core::TokenCount aTokens,
                         core::MonotonicTime aNow)
 {
-  const bool limitsRequests = aLimit.requestsPerSecond > 0.0;
-  const bool limitsTokens = aLimit.tokensPerSecond > 0.0;
-  if (!limitsRequests && !limitsTokens) {
+  if (aLimit.requestsPerSecond <= 0.0 && aLimit.tokensPerSecond <= 0.0) {
     return {};
   }
   Bucket& bucket = this->BucketOf(aWorkspace, aLimit, aNow);
-  const auto cost = static_cast<double>(aTokens.Number());
   bucket.askedRequests += 1.0;
-  bucket.askedTokens += cost;
-  const bool hasRequests = !limitsRequests || bucket.requests >= 1.0;
-  // A request may cost more than is ever saved up, so it runs into debt.
-  const bool hasTokens = !limitsTokens || bucket.tokens > 0.0;
-  if (hasRequests && hasTokens) {
-    bucket.requests -= limitsRequests ? 1.0 : 0.0;
-    bucket.tokens -= limitsTokens ? cost : 0.0;
+  bucket.askedTokens += static_cast<double>(aTokens.Number());
+  return bucket.rate.Take(aTokens, this->ShareAt(bucket, aNow));
+}
+
+std::vector<core::InstanceId>
+WorkspaceBuckets::WhomToAsk(const core::WorkspaceId& aWorkspace, core::MonotonicTime aNow) const
+{
+  const WorkspaceHash hash = HashWorkspace(aWorkspace);
+  const auto found = this->buckets.find(hash.Number());
+  if (found == this->buckets.end() || found->second.asksAgainAt > aNow) {
     return {};
   }
-  const double share = this->ShareAt(bucket, aNow);
-  double wait = 0.0;
-  if (!hasRequests) {
-    wait = (1.0 - bucket.requests) / (aLimit.requestsPerSecond * share);
-  }
-  if (!hasTokens) {
-    wait = std::max(wait, -bucket.tokens / (aLimit.tokensPerSecond * share));
+  std::vector<core::InstanceId> owners = FindOwners(hash, this->instances, this->options.owners);
+  // Instances begin with different owners, so that all pools are drawn on.
+  const std::size_t first = std::hash<core::InstanceId>{}(this->self) % owners.size();
+  std::rotate(owners.begin(), owners.begin() + static_cast<std::ptrdiff_t>(first), owners.end());
+  return owners;
+}
+
+void
+WorkspaceBuckets::NoteRefusal(const core::WorkspaceId& aWorkspace,
+                              std::chrono::milliseconds aWait,
+                              core::MonotonicTime aNow)
+{
+  const auto found = this->buckets.find(HashWorkspace(aWorkspace).Number());
+  if (found != this->buckets.end()) {
+    found->second.asksAgainAt =
+      aNow + std::clamp(aWait, kShortestAskPause, this->options.reportInterval);
   }
-  const double bounded = std::min(std::ceil(wait), Seconds(kLongestRetryAfter).count());
-  return { false, std::max(std::chrono::seconds(1), std::chrono::seconds(std::lround(bounded))) };
 }
 
 void
@@ -136,9 +129,13 @@
   const auto multiple = [&](double aAsked, double aRate) {
     return aRate > 0.0 ? aAsked / aInterval.count() / aRate : 0.0;
   };
-  const double newest = std::max(multiple(aBucket.askedRequests, aBucket.limit.requestsPerSecond),
-                                 multiple(aBucket.askedTokens, aBucket.limit.tokensPerSecond));
+  const double newest =
+    std::max(multiple(aBucket.askedRequests, aBucket.rate.limit.requestsPerSecond),
+             multiple(aBucket.askedTokens, aBucket.rate.limit.tokensPerSecond));
   aBucket.demand += kNewest * (newest - aBucket.demand);
+  aBucket.arrivals += kNewest * (aBucket.askedRequests - aBucket.arrivals);
+  // Sparse requests are asked for one by one; a lease would lie idle between them.
+  aBucket.demand = aBucket.arrivals < kDenseArrivals ? 0.0 : aBucket.demand;
   aBucket.askedRequests = 0.0;
   aBucket.askedTokens = 0.0;
 }
@@ -165,9 +162,9 @@
   for (auto& [hash, bucket] : this->buckets) {
     this->Fill(bucket, aNow);
     this->EndInterval(bucket, interval);
+    const bool hadLeases = this->ShareAt(bucket, aNow) > this->Floor();
     this->GiveBack(bucket);
-    const bool leases = this->ShareAt(bucket, aNow) > this->Floor();
-    if (bucket.demand < kLeastDemand && !leases) {
+    if (bucket.demand <= 0.0 && !hadLeases) {
       continue;
     }
     const WorkspaceHash workspace(hash);
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -449,7 +449,7 @@
   const limits::LimitDecision limit = AskLimit(aContext, *request);
   if (!limit.admitted) {
     const absl::Status cause = core::MakeError(limits::errors::kLimited, request->workspace.Text());
-    const Problem problem{ cause, core::Outcome::kNotRun, aRequest, limit.retryAfter };
+    const Problem problem{ cause, core::Outcome::kNotRun, aRequest, limit.RetryAfter() };
     return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
   }
   const std::string model = request->deployment.Text();
--- a/tests/harness/limit_fleet.hpp
+++ b/tests/harness/limit_fleet.hpp
@@ -54,6 +54,8 @@
   };
 
   void Report(std::size_t aFrom);
+  std::size_t Find(const core::InstanceId& aInstance) const;
+  limits::LimitDecision Ask(std::size_t aFrom, std::size_t aTo, const limits::LimitAsk& aAsk);
 
   limits::LimitOptions options;
   core::ManualClock clock;
