--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -8,6 +8,7 @@
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/control/drain_mark_learner.hpp>
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/limits/limit_gate.hpp>
 #include <plantainslip/net/http_server.hpp>
 #include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/peers/peer_server.hpp>
@@ -66,7 +67,7 @@
                   "Security");
   aLine.AddSecret("resume-key",
                   aSettings.resumeKey,
-                  "Key of all instances that signs resume tokens; empty issues none",
+                  "Key of all instances that signs resume tokens; without it none are issued",
                   "Security");
   aLine
     .Add(
@@ -99,6 +100,12 @@
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
+  handlers.calls[limits::kReportMessage] = [&aContext](const std::string& aBody) {
+    return aContext.limits->HandleReport(aBody);
+  };
+  handlers.calls[limits::kAskMessage] = [&aContext](const std::string& aBody) {
+    return aContext.limits->HandleAsk(aBody);
+  };
   handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
                                                        const peers::SendPiece& aSend) {
     return requests::HandleSpilledCompletion(aContext, aBody, aSend);
@@ -158,6 +165,9 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
+  const auto limitGate = limits::MakeLimitGate(
+    {}, self, { clock, *peerClient, [&] { return board.Current()->entries; } });
+  context.limits = limitGate.get();
   control::ControlLoopOptions controlOptions;
   controlOptions.self = context.instance;
   controlOptions.zone = context.zone;
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -9,6 +9,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/limits/limit_gate.hpp>
 #include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
@@ -58,6 +59,8 @@
   retries::RetryBudget retryBudget{};
   /// @brief Which targets get no new work, since they are about to be changed.
   authority::DrainMarks drainMarks{ inFlight };
+  /// @brief Limits of workspaces; null admits everything.
+  limits::LimitGate* limits = nullptr;
 };
 
 } // namespace plantainslip::requests
