--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,12 +2,16 @@
 
 #include <iostream>
 
+#include <plantainslip/claims/bucket_owner.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/net/http_server.hpp>
+#include <plantainslip/peers/peer_client.hpp>
+#include <plantainslip/peers/peer_server.hpp>
 #include <plantainslip/platform/http_platform.hpp>
 #include <plantainslip/requests/dispatcher.hpp>
+#include <plantainslip/requests/spill_over.hpp>
 
 #include "../common/command_line.hpp"
 #include "../common/setting_checks.hpp"
@@ -30,6 +34,9 @@
   std::uint16_t port = 0;
   std::string platform;
   apps::Secret operatorKey;
+  std::uint16_t peerPort = 0;
+  apps::Secret peerKey;
+  unsigned peerThreads = 64;
   unsigned threads = 256;
   int lingerMs = 0;
 };
@@ -54,6 +61,17 @@
                   aSettings.operatorKey,
                   "Key that operators prove themselves with; without it all are refused",
                   "Security");
+  aLine
+    .Add(
+      "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
+    ->check(CLI::Range(std::uint16_t{ 0 }, kMostPort));
+  aLine.AddSecret("peer-key",
+                  aSettings.peerKey,
+                  "Key that peers prove themselves with; without it all are refused",
+                  "Security");
+  aLine
+    .Add("peer-threads", aSettings.peerThreads, "Most peers' messages worked on at once", "Traffic")
+    ->check(CLI::Range(1U, kMostThreads));
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
@@ -64,6 +82,31 @@
     ->check(CLI::Range(0, 600'000));
 }
 
+peers::PeerHandlers
+MakePeerHandlers(requests::RequestContext& aContext)
+{
+  peers::PeerHandlers handlers;
+  handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
+    return aContext.claims.HandleCommit(aBody);
+  };
+  handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
+                                                       const peers::SendPiece& aSend) {
+    return requests::HandleSpilledCompletion(aContext, aBody, aSend);
+  };
+  return handlers;
+}
+
+absl::StatusOr<std::unique_ptr<peers::PeerServer>>
+ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
+{
+  peers::PeerServerOptions options;
+  options.host = aSettings.host;
+  options.port = aSettings.peerPort;
+  options.key = aSettings.peerKey.Reveal();
+  options.threads = aSettings.peerThreads;
+  return peers::PeerServer::Create(options, std::move(aHandlers));
+}
+
 int
 Serve(const Settings& aSettings)
 {
@@ -73,8 +116,13 @@
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto engines = targets::MakeHttpEngineClient(kEngineTimeout);
   const auto services = targets::MakeHttpServiceClient();
-  const auto claimBook = claims::MakeStoreClaimBook(*store);
+  const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey.Reveal());
   control::ViewBoard board;
+  const core::InstanceId self(aSettings.instance);
+  const auto claimBook = claims::MakeSegmentClaimBook(
+    {}, { *store, clock, peerClient.get(), [&](std::uint64_t aBucket) {
+           return claims::FindBucketOwner(aBucket, self, board.Current()->entries);
+         } });
   requests::RequestContext context{ .instance = core::InstanceId(aSettings.instance),
                                     .zone = core::ZoneId(aSettings.zone),
                                     .operatorKey = aSettings.operatorKey.Reveal(),
@@ -83,6 +131,7 @@
                                     .engines = *engines,
                                     .services = *services,
                                     .claims = *claimBook,
+                                    .peers = *peerClient,
                                     .board = board,
                                     .gate = {},
                                     .ledger = {},
@@ -92,10 +141,15 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
+  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
+  if (!peerServer.ok()) {
+    std::cerr << peerServer.status().message() << "\n";
+    return apps::kExitFailed;
+  }
   control::ControlLoopOptions controlOptions;
   controlOptions.zone = context.zone;
-  const auto loop =
-    control::ControlLoop::Start(controlOptions, { *store, *list, *engines, clock }, board);
+  const auto loop = control::ControlLoop::Start(
+    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
@@ -106,16 +160,20 @@
     std::cerr << server.status().message() << "\n";
     return apps::kExitFailed;
   }
-  core::Log(
-    core::LogLevel::kInfo, "listening", { { "address", (*server)->ListeningAddress().Text() } });
+  core::Log(core::LogLevel::kInfo,
+            "listening",
+            { { "address", (*server)->ListeningAddress().Text() },
+              { "peer_address", (*peerServer)->ListeningAddress().Text() } });
 
   apps::WaitForStopSignal();
   core::Log(
     core::LogLevel::kInfo, "stopping", { { "open", std::to_string(context.ledger.OpenNow()) } });
   context.gate.Close();
   context.gate.WaitUntilEmpty();
+  claimBook->Flush();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
+  (*peerServer)->Stop();
   loop->Stop();
   core::Log(core::LogLevel::kInfo, "stopped");
   return apps::kExitDone;
--- a/src/requests/dispatcher.cpp
+++ b/src/requests/dispatcher.cpp
@@ -51,6 +51,7 @@
     ",zone=" + observe::QuoteLabel(aContext.zone.Text()) + "} 1\n";
   const std::string text = identity + aContext.ledger.Format() + aContext.deployments.Format() +
                            aContext.firstToken.Format("plantainslip_first_token_seconds") +
+                           aContext.betweenTokens.Format("plantainslip_between_tokens_seconds") +
                            aContext.wholeAnswer.Format("plantainslip_whole_answer_seconds");
   aExchange.Respond(kOk, "text/plain; version=0.0.4", text);
 }
