Cover all that operators do with ctl: diff, history, wait, instances, orders

A patch tells its diff, number and author, then waits and tells which instances have it in force and which have not. Exit codes: 3 conflict, 4 unreachable, 5 not authorized, 6 not in force in time. Draining by ctl is refused with the reason until the mechanism is there.

--- a/apps/common/command_line.cpp
+++ b/apps/common/command_line.cpp
@@ -51,7 +51,17 @@
                        const std::string& aDescription,
                        const std::string& aGroup)
 {
-  return this->app.add_flag("--" + aName, aValue, aDescription)
+  return AddSwitchTo(this->app, aName, aValue, aDescription, aGroup);
+}
+
+CLI::Option*
+CommandLine::AddSwitchTo(CLI::App& aCommand,
+                         const std::string& aName,
+                         bool& aValue,
+                         const std::string& aDescription,
+                         const std::string& aGroup)
+{
+  return aCommand.add_flag("--" + aName, aValue, aDescription)
     ->envname(EnvironmentName(aName))
     ->group(aGroup);
 }
--- a/apps/common/command_line.hpp
+++ b/apps/common/command_line.hpp
@@ -68,6 +68,13 @@
                          const std::string& aDescription,
                          const std::string& aGroup);
 
+  /// @brief Adds a flag without a value to a subcommand; otherwise as AddSwitch().
+  static CLI::Option* AddSwitchTo(CLI::App& aCommand,
+                                  const std::string& aName,
+                                  bool& aValue,
+                                  const std::string& aDescription,
+                                  const std::string& aGroup);
+
   /// @brief Adds a secret, which is given by its environment variable, in a file that
   ///        `--NAME-file` names, or, where other users cannot list processes, by its own flag. It
   ///        is neither printed as a default nor in a message.
--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -1,125 +1,95 @@
-// Operators' command line: every subcommand is one call of an entry instance.
-
-#include <iostream>
+// Operators' command line: every subcommand is one call, or a few, of entry instances.
 
 #include <nlohmann/json.hpp>
 
-#include <plantainslip/core/random.hpp>
-#include <plantainslip/net/http_client.hpp>
-
-#include "../common/address_check.hpp"
 #include "../common/command_line.hpp"
+#include "../common/setting_checks.hpp"
+#include "config_commands.hpp"
+#include "fleet_commands.hpp"
 
 namespace {
 
 using namespace plantainslip; // NOLINT(google-build-using-namespace)
-using nlohmann::json;
+using apps::CommandLine;
+using ctl::Settings;
+
+constexpr int kMostTimeoutSeconds = 3600;
 
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
-constexpr int kExitConflict = 3;
-constexpr int kExitUnreachable = 4;
+using Command = int (*)(const Settings&);
 
-struct Settings
+/// A subcommand and what carries it out.
+struct Entry
 {
-  std::string entry = "127.0.0.1:7100";
-  std::string operatorKey;
-  std::uint64_t base = 0;
-  std::string author;
-  std::string change;
-  std::string patch;
-  bool asJson = false;
+  CLI::App* parser;
+  Command command;
 };
 
-int
-ExitCodeOf(const absl::StatusOr<net::HttpReply>& aReply)
+std::string
+CheckObject(const std::string& aText)
 {
-  if (!aReply.ok()) {
-    std::cerr << aReply.status().message() << "\n";
-    return kExitUnreachable;
-  }
-  if (aReply->status == kOk) {
-    return apps::kExitDone;
-  }
-  std::cerr << aReply->body << "\n";
-  return aReply->status == kConflict ? kExitConflict : apps::kExitFailed;
+  const bool isObject = nlohmann::json::parse(aText, nullptr, false).is_object();
+  return isObject ? std::string() : "'" + aText + "' is not a JSON object";
 }
 
-absl::StatusOr<net::HttpReply>
-Call(const Settings& aSettings,
-     const std::string& aMethod,
-     const std::string& aTarget,
-     const std::string& aBody)
+void
+AddTimeout(CLI::App& aCommand, Settings& aSettings)
 {
-  net::HttpRequest request;
-  request.method = aMethod;
-  request.target = aTarget;
-  request.body = aBody;
-  request.headers.push_back({ "Authorization", "Bearer " + aSettings.operatorKey });
-  return net::CallHttp(*net::Address::Parse(aSettings.entry), request);
+  CommandLine::AddTo(
+    aCommand, "timeout", aSettings.timeoutSeconds, "Longest wait; seconds", "Waiting")
+    ->check(CLI::Range(0, kMostTimeoutSeconds));
 }
 
-int
-ShowConfiguration(const Settings& aSettings)
+CLI::App*
+AddPatch(CLI::App& aConfig, Settings& aSettings)
 {
-  const auto reply = Call(aSettings, "GET", "/v1/operator/configuration", {});
-  if (const int exitCode = ExitCodeOf(reply); exitCode != apps::kExitDone) {
-    return exitCode;
-  }
-  const json record = json::parse(reply->body);
-  if (aSettings.asJson) {
-    std::cout << record.dump() << "\n";
-  } else {
-    std::cout << "version " << record.at("version") << "\n"
-              << record.at("document").dump(2) << "\n";
-  }
-  return apps::kExitDone;
+  CLI::App* patch = aConfig.add_subcommand(
+    "patch", "Submit a patch against a version and wait until it is in force");
+  const auto add = [&](const std::string& aName, auto& aValue, const std::string& aDescription) {
+    return CommandLine::AddTo(*patch, aName, aValue, aDescription, "Patch");
+  };
+  add("base", aSettings.base, "Version that the patch was made against")->required();
+  add("author", aSettings.author, "Who answers for the patch")->required();
+  add("change", aSettings.change, "JSON merge patch (RFC 7386)")->required()->check(&CheckObject);
+  add("patch", aSettings.patch, "Identifier of a patch that is submitted again");
+  CommandLine::AddSwitchTo(
+    *patch, "no-wait", aSettings.noWait, "Do not wait until the patch is in force", "Waiting");
+  AddTimeout(*patch, aSettings);
+  return patch;
 }
 
-int
-SubmitPatch(const Settings& aSettings)
+std::vector<Entry>
+AddConfigCommands(CLI::App& aParser, Settings& aSettings)
 {
-  const json change = json::parse(aSettings.change, nullptr, false);
-  if (!change.is_object()) {
-    std::cerr << "--change: '" << aSettings.change << "' is not a JSON object\n";
-    return apps::kExitBadSettings;
-  }
-  const std::string patch = aSettings.patch.empty() ? core::MakeUniqueName() : aSettings.patch;
-  const json body = { { "patch", patch },
-                      { "base", aSettings.base },
-                      { "author", aSettings.author },
-                      { "change", change } };
-  const auto reply = Call(aSettings, "POST", "/v1/operator/patches", body.dump());
-  if (const int exitCode = ExitCodeOf(reply); exitCode != apps::kExitDone) {
-    std::cerr << "patch " << patch << " can be submitted again with --patch " << patch << "\n";
-    return exitCode;
-  }
-  std::cout << "accepted as version " << json::parse(reply->body).at("version") << "\n";
-  return apps::kExitDone;
+  CLI::App* config = aParser.add_subcommand("config", "Read and change the configuration");
+  config->require_subcommand(1);
+  CLI::App* show = config->add_subcommand("show", "Print the accepted configuration");
+  CLI::App* history = config->add_subcommand("history", "Print the newest patches");
+  CLI::App* wait = config->add_subcommand("wait", "Wait until a version is in force everywhere");
+  CommandLine::AddTo(
+    *wait, "config-version", aSettings.version, "Version; 0 is the newest", "Waiting");
+  AddTimeout(*wait, aSettings);
+  return { { show, &ctl::ShowConfiguration },
+           { history, &ctl::ShowHistory },
+           { AddPatch(*config, aSettings), &ctl::SubmitPatch },
+           { wait, &ctl::WaitForVersion } };
 }
 
-int
-ShowFleet(const Settings& aSettings)
+std::vector<Entry>
+AddFleetCommands(CLI::App& aParser, Settings& aSettings)
 {
-  const auto reply = Call(aSettings, "GET", "/v1/operator/fleet", {});
-  if (const int exitCode = ExitCodeOf(reply); exitCode != apps::kExitDone) {
-    return exitCode;
-  }
-  const json fleet = json::parse(reply->body);
-  if (aSettings.asJson) {
-    std::cout << fleet.dump() << "\n";
-    return apps::kExitDone;
-  }
-  for (const json& target : fleet.at("targets")) {
-    std::cout << target.at("name").get<std::string>() << "  "
-              << target.at("zone").get<std::string>() << "  "
-              << target.at("kind").get<std::string>() << "  "
-              << target.at("serves").get<std::string>() << "  "
-              << target.value("role", std::string("-")) << "  "
-              << target.value("version", std::string("-"))
-              << (target.at("leaving").get<bool>() ? "  leaving" : "") << "\n";
-  }
-  return apps::kExitDone;
+  CLI::App* targets = aParser.add_subcommand("targets", "Print the engines and plain services");
+  CLI::App* instances = aParser.add_subcommand(
+    "instances", "Print the entry instances and the version that each has in force");
+  CLI::App* orders = aParser.add_subcommand("orders", "Print the newest order to each engine");
+  CLI::App* drain =
+    aParser.add_subcommand("drain", "Take work away from a target before it is replaced");
+  CommandLine::AddTo(*drain, "target", aSettings.target, "Name of the target", "Drain")
+    ->required()
+    ->check(&apps::CheckName);
+  return { { targets, &ctl::ShowTargets },
+           { instances, &ctl::ShowInstances },
+           { orders, &ctl::ShowOrders },
+           { drain, &ctl::Drain } };
 }
 
 } // namespace
@@ -128,32 +98,26 @@
 main(int aCount, char** aArguments)
 {
   Settings settings;
-  apps::CommandLine line("plantainslip-ctl", "Operators' command line.");
+  CommandLine line("plantainslip-ctl", "Operators' command line.");
   line.Add("entry", settings.entry, "Address of any entry instance", "Network")
     ->check(&apps::CheckAddress);
-  line.Add("operator-key", settings.operatorKey, "Key that proves the operator", "Security");
-  line.Parser().add_flag("--json", settings.asJson, "Print JSON for programs");
-  CLI::App* config = line.Parser().add_subcommand("config", "Read and change the configuration");
-  CLI::App* show = config->add_subcommand("show", "Print the configuration in force");
-  CLI::App* patch = config->add_subcommand("patch", "Submit a patch against a version");
-  patch->add_option("--base", settings.base, "Version that the patch was made against")->required();
-  patch->add_option("--author", settings.author, "Who answers for the patch")->required();
-  patch->add_option("--change", settings.change, "JSON merge patch (RFC 7386)")->required();
-  patch->add_option("--patch", settings.patch, "Identifier of a patch that is submitted again");
-  CLI::App* targets = line.Parser().add_subcommand("targets", "Print the targets");
-  config->require_subcommand(1);
+  line.AddSecret("operator-key", settings.operatorKey, "Key that proves the operator", "Security");
+  line.AddSwitch("json", settings.asJson, "Print JSON for programs", "Output");
   line.Parser().require_subcommand(1);
+  line.Parser().fallthrough();
+  line.Parser().footer("Exit codes: 0 done, 1 failed, 2 wrong settings, 3 version conflict, "
+                       "4 unreachable, 5 not authorized, 6 not in force in time.");
+  std::vector<Entry> commands = AddConfigCommands(line.Parser(), settings);
+  for (const Entry& entry : AddFleetCommands(line.Parser(), settings)) {
+    commands.push_back(entry);
+  }
   if (const auto exitCode = line.Parse(aCount, aArguments); exitCode.has_value()) {
     return *exitCode;
   }
-  if (show->parsed()) {
-    return ShowConfiguration(settings);
-  }
-  if (patch->parsed()) {
-    return SubmitPatch(settings);
-  }
-  if (targets->parsed()) {
-    return ShowFleet(settings);
+  for (const Entry& entry : commands) {
+    if (entry.parser->parsed()) {
+      return entry.command(settings);
+    }
   }
   return apps::kExitBadSettings;
 }
--- a/src/requests/operator_calls.cpp
+++ b/src/requests/operator_calls.cpp
@@ -16,6 +16,14 @@
 constexpr int kOk = 200;
 constexpr std::size_t kLargestPatchBytes = 1'000'000;
 constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kOrderPrefix = "orders/";
+
+// Names come from outside; bytes that are no UTF-8 must not break the answer.
+std::string
+Dump(const json& aAnswer)
+{
+  return aAnswer.dump(-1, ' ', false, json::error_handler_t::replace);
+}
 
 bool
 IsOperator(const RequestContext& aContext, const net::HttpExchange& aExchange)
@@ -88,7 +96,7 @@
     Refuse(aExchange, record.status());
     return;
   }
-  aExchange.Respond(kOk, "application/json", ToJson(*record).dump());
+  aExchange.Respond(kOk, "application/json", Dump(ToJson(*record)));
 }
 
 json
@@ -142,7 +150,28 @@
                                     { "address", entry.address.Text() },
                                     { "leaving", entry.leaving } });
   }
-  aExchange.Respond(kOk, "application/json", answer.dump());
+  aExchange.Respond(kOk, "application/json", Dump(answer));
+}
+
+// Entries are shown as they lie in the journal; one that cannot be read is shown by its name.
+void
+ShowOrders(RequestContext& aContext, net::HttpExchange& aExchange)
+{
+  const auto entries = aContext.store.List(std::string(kOrderPrefix));
+  if (!entries.ok()) {
+    Refuse(aExchange, entries.status());
+    return;
+  }
+  json answer = { { "orders", json::array() } };
+  for (const platform::KeyedValue& entry : *entries) {
+    json line = json::parse(entry.stored.value, nullptr, false);
+    if (!line.is_object()) {
+      line = { { "phase", "cannot be read" } };
+    }
+    line["target"] = entry.key.substr(kOrderPrefix.size());
+    answer["orders"].push_back(std::move(line));
+  }
+  aExchange.Respond(kOk, "application/json", Dump(answer));
 }
 
 } // namespace
@@ -161,6 +190,13 @@
     TakePatch(aContext, aExchange);
   } else if (call == "GET /v1/operator/fleet") {
     ShowFleet(aContext, aExchange);
+  } else if (call == "GET /v1/operator/orders") {
+    ShowOrders(aContext, aExchange);
+  } else if (call == "POST /v1/operator/drains") {
+    Refuse(aExchange,
+           core::MakeError(errors::kNoSuchPath,
+                           "this version drains through the platform's list and through orders; "
+                           "mark the instance as leaving there"));
   } else {
     Refuse(aExchange, core::MakeError(errors::kNoSuchPath, call));
   }
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -150,6 +150,13 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalExitBase + WTERMSIG(status);
 }
 
+void
+ChildProcess::AwaitOutputEnd() const
+{
+  std::unique_lock lock(this->shared->mutex);
+  this->shared->grown.wait_for(lock, kPatience, [&] { return this->shared->ended; });
+}
+
 std::string
 ChildProcess::Output() const
 {
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -41,6 +41,9 @@
   /// @return its exit code, or 128 and the signal that ended it
   int WaitForExit();
 
+  /// @brief Waits until all that the process has printed was read. For a process that has ended.
+  void AwaitOutputEnd() const;
+
   /// @brief Gives what the process has printed so far.
   std::string Output() const;
 
--- a/tests/src/process-load.cpp
+++ b/tests/src/process-load.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <fstream>
 
+#include <harness/program_run.hpp>
 #include <harness/small_fleet.hpp>
 
 #include <plantainslip/core/random.hpp>
@@ -63,14 +64,11 @@
   SUBCASE("right answers give exit code 0 and are all counted")
   {
     const ScenarioFile scenario("m@1");
-    harness::ChildProcess load(
+    const auto load = harness::RunProgram(
       "apps/plantainslip-load",
-      { "--entries", entries, "--scenario", scenario.Path(), "--json", "--seed", "3" },
-      false);
-    CHECK(load.WaitForExit() == 0);
-    harness::Await("the result is printed",
-                   [&] { return load.Output().find('\n') != std::string::npos; });
-    const json result = json::parse(load.Output());
+      { "--entries", entries, "--scenario", scenario.Path(), "--json", "--seed", "3" });
+    CHECK(load.exitCode == 0);
+    const json result = json::parse(load.output);
     CHECK(result["requests"].get<int>() > 0);
     CHECK(result["ends"]["right"] == result["requests"]);
   }
@@ -78,10 +76,9 @@
   SUBCASE("wrong answers give exit code 1 and a loud line")
   {
     const ScenarioFile scenario("another@1");
-    harness::ChildProcess load(
-      "apps/plantainslip-load", { "--entries", entries, "--scenario", scenario.Path() }, false);
-    CHECK(load.WaitForExit() == 1);
-    harness::Await("the loud line is printed",
-                   [&] { return load.Output().find("WRONG ANSWERS") != std::string::npos; });
+    const auto load = harness::RunProgram("apps/plantainslip-load",
+                                          { "--entries", entries, "--scenario", scenario.Path() });
+    CHECK(load.exitCode == 1);
+    CHECK(load.output.find("WRONG ANSWERS") != std::string::npos);
   }
 }
--- a/tests/src/process-report.cpp
+++ b/tests/src/process-report.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 
+#include <harness/program_run.hpp>
 #include <harness/small_fleet.hpp>
 
 using namespace plantainslip; // NOLINT(google-build-using-namespace)
@@ -12,11 +13,9 @@
 int
 Report(const std::vector<std::string>& aFlags, std::string& aOutput)
 {
-  harness::ChildProcess report("apps/plantainslip-report", aFlags, false);
-  const int exitCode = report.WaitForExit();
-  harness::Await("the report is printed", [&] { return report.Output().ends_with("\n"); });
-  aOutput = report.Output();
-  return exitCode;
+  const auto run = harness::RunProgram("apps/plantainslip-report", aFlags);
+  aOutput = run.output;
+  return run.exitCode;
 }
 
 } // namespace
