--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include <nlohmann/json.hpp>
+#include <core/bounded_json.hpp>
 
 #include <plantainslip/config/errors.hpp>
 
@@ -12,6 +12,8 @@
 
 using nlohmann::json;
 
+constexpr core::JsonBounds kDocumentBounds{ 32, 1'000'000 };
+
 absl::Status
 Invalid(const std::string& aWhere, const std::string& aWhat)
 {
@@ -172,7 +174,12 @@
 absl::StatusOr<Configuration>
 ParseConfiguration(core::ConfigVersion aVersion, const std::string& aDocument)
 {
-  const json document = json::parse(aDocument, nullptr, false);
+  const auto readable = core::ParseBoundedJson(aDocument, kDocumentBounds);
+  if (!readable.ok()) {
+    return core::MakeError(errors::kInvalid,
+                           "the document " + std::string(readable.status().message()));
+  }
+  const json& document = *readable;
   const absl::Status known = CheckFields(
     document, "document", { "deployments", "services", "targets", "limits", "weights" });
   if (!known.ok()) {
--- a/src/config/record.cpp
+++ b/src/config/record.cpp
@@ -1,6 +1,6 @@
 #include <plantainslip/config/record.hpp>
 
-#include <nlohmann/json.hpp>
+#include <core/bounded_json.hpp>
 
 #include <plantainslip/config/errors.hpp>
 
@@ -10,6 +10,9 @@
 
 using nlohmann::json;
 
+// A change lies deeper in the record than in its submission; what was accepted must be readable.
+constexpr core::JsonBounds kRecordBounds{ 64, 1'000'000 };
+
 HistoryEntry
 ParseEntry(const json& aLine)
 {
@@ -27,8 +30,13 @@
 absl::StatusOr<ConfigurationRecord>
 ParseRecord(const std::string& aText)
 {
+  const auto parsed = core::ParseBoundedJson(aText, kRecordBounds);
+  if (!parsed.ok()) {
+    return core::MakeError(errors::kInvalid,
+                           "the record " + std::string(parsed.status().message()));
+  }
   try {
-    const json text = json::parse(aText);
+    const json& text = *parsed;
     ConfigurationRecord record;
     record.version = core::ConfigVersion(text.at("version").get<std::uint64_t>());
     record.document = text.at("document").dump();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -6,13 +6,15 @@
 
 #include <civetweb.h>
 
+#include <plantainslip/core/clock.hpp>
 #include <plantainslip/net/errors.hpp>
 
 namespace plantainslip::net {
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16'384;
+// One read waits until its buffer is full, so a small one lets the time be checked between reads.
+constexpr std::size_t kReadBytes = 128;
 constexpr std::size_t kQueryValueBytes = 4096;
 constexpr int kHandled = 200;
 
@@ -31,8 +33,9 @@
 class CivetExchange final : public HttpExchange
 {
 public:
-  explicit CivetExchange(mg_connection* aConnection)
+  CivetExchange(mg_connection* aConnection, std::chrono::milliseconds aTimeout)
     : connection(aConnection)
+    , timeout(aTimeout)
     , info(mg_get_request_info(aConnection))
   {
   }
@@ -68,11 +71,16 @@
     if (stated > static_cast<long long>(aLimit)) {
       return core::MakeError(errors::kBodyTooLarge, "limit " + std::to_string(aLimit));
     }
+    // A sender of one byte at a time would never run into the timeout of a single read.
+    const core::MonotonicTime end = this->clock.Now() + this->timeout;
     std::string body;
     std::array<char, kReadBytes> buffer{};
     for (;;) {
       const int got = mg_read(this->connection, buffer.data(), buffer.size());
-      if (got <= 0) {
+      if (got < 0 || this->clock.Now() > end) {
+        return core::MakeError(errors::kBodyTruncated, "got " + std::to_string(body.size()));
+      }
+      if (got == 0) {
         break;
       }
       if (body.size() + static_cast<std::size_t>(got) > aLimit) {
@@ -123,6 +131,8 @@
   }
 
   mg_connection* connection;
+  std::chrono::milliseconds timeout;
+  core::SystemClock clock;
   const mg_request_info* info;
 };
 
@@ -138,6 +148,7 @@
 
   absl::Status Start(const HttpServerOptions& aOptions)
   {
+    this->requestTimeout = aOptions.requestTimeout;
     const bool secure = !aOptions.certificateFile.empty();
     const std::string ports =
       aOptions.host + ":" + std::to_string(aOptions.port) + (secure ? "s" : "");
@@ -183,12 +194,14 @@
 private:
   static int Handle(mg_connection* aConnection, void* aServer)
   {
-    CivetExchange exchange(aConnection);
-    static_cast<CivetServer*>(aServer)->handler(exchange);
+    auto* server = static_cast<CivetServer*>(aServer);
+    CivetExchange exchange(aConnection, server->requestTimeout);
+    server->handler(exchange);
     return kHandled;
   }
 
   Handler handler;
+  std::chrono::milliseconds requestTimeout{ 0 };
   Address address;
   mg_context* context = nullptr;
 };
--- a/src/requests/completion_request.cpp
+++ b/src/requests/completion_request.cpp
@@ -1,6 +1,6 @@
 #include <plantainslip/requests/completion_request.hpp>
 
-#include <nlohmann/json.hpp>
+#include <core/bounded_json.hpp>
 
 #include <plantainslip/requests/errors.hpp>
 
@@ -17,7 +17,6 @@
 constexpr std::int64_t kDefaultDeadlineMs = 600'000;
 constexpr std::int64_t kMostDeadlineMs = 3'600'000;
 constexpr std::size_t kLongestNameBytes = 200;
-constexpr int kDeepestNesting = 32;
 
 absl::Status
 Bad(const std::string& aField, const std::string& aWhat)
@@ -67,20 +66,6 @@
   return found->get<std::int64_t>();
 }
 
-// Deep nesting would cost stack in a recursive reader, and no field of a request needs it.
-json
-ParseShallow(const std::string& aBody)
-{
-  bool tooDeep = false;
-  const json::parser_callback_t checkDepth =
-    [&](int aDepth, json::parse_event_t /*aEvent*/, json& /*aParsed*/) {
-      tooDeep = tooDeep || aDepth > kDeepestNesting;
-      return !tooDeep;
-    };
-  json body = json::parse(aBody, checkDepth, false);
-  return tooDeep ? json(json::value_t::discarded) : body;
-}
-
 absl::Status
 ReadTexts(const json& aBody, CompletionRequest& aRequest)
 {
@@ -122,7 +107,12 @@
 absl::StatusOr<CompletionRequest>
 ParseCompletionRequest(const std::string& aBody)
 {
-  const json body = ParseShallow(aBody);
+  const auto parsed = core::ParseBoundedJson(aBody);
+  if (!parsed.ok()) {
+    return core::MakeError(errors::kBadRequest,
+                           "the body " + std::string(parsed.status().message()));
+  }
+  const json& body = *parsed;
   if (!body.is_object()) {
     return core::MakeError(errors::kBadRequest, "the body is not a JSON object");
   }
--- a/src/requests/operator_calls.cpp
+++ b/src/requests/operator_calls.cpp
@@ -1,6 +1,6 @@
 #include <plantainslip/requests/operator_calls.hpp>
 
-#include <nlohmann/json.hpp>
+#include <core/bounded_json.hpp>
 #include <openssl/crypto.h>
 
 #include <plantainslip/config/commands/submit_patch.hpp>
@@ -15,6 +15,7 @@
 
 constexpr int kOk = 200;
 constexpr std::size_t kLargestPatchBytes = 1'000'000;
+constexpr core::JsonBounds kPatchBounds{ 32, kLargestPatchBytes };
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kOrderPrefix = "orders/";
 
@@ -70,8 +71,13 @@
   if (!body.ok()) {
     return core::MakeError(errors::kBadRequest, body.status().message());
   }
+  const auto parsed = core::ParseBoundedJson(*body, kPatchBounds);
+  if (!parsed.ok()) {
+    return core::MakeError(errors::kBadRequest,
+                           "the body " + std::string(parsed.status().message()));
+  }
   try {
-    const json text = json::parse(*body);
+    const json& text = *parsed;
     config::PatchSubmission submission;
     submission.patch = core::PatchId(text.at("patch").get<std::string>());
     submission.base = core::ConfigVersion(text.at("base").get<std::uint64_t>());
--- /dev/null
+++ b/src/targets/fuzz/token_chunk.cpp
@@ -0,0 +1,17 @@
+// Fuzz target: a line of an engine's answer.
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include <targets/engine_messages.hpp>
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aBytes, std::size_t aLength)
+{
+  const std::string text(aBytes, aBytes + aLength);
+  (void)targets::ParseTokenChunk(text);
+  return 0;
+}
--- a/src/targets/http_engine_client.cpp
+++ b/src/targets/http_engine_client.cpp
@@ -1,6 +1,7 @@
 #include <plantainslip/targets/engine.hpp>
 
 #include <nlohmann/json.hpp>
+#include <targets/engine_messages.hpp>
 
 #include <plantainslip/net/errors.hpp>
 #include <plantainslip/net/http_client.hpp>
@@ -23,27 +24,6 @@
   return core::MakeError(notSent ? errors::kUnreachable : errors::kLost, aStatus.message());
 }
 
-absl::StatusOr<TokenChunk>
-ParseChunk(const std::string& aLine)
-{
-  try {
-    const json line = json::parse(aLine);
-    TokenChunk chunk;
-    chunk.request = core::RequestId(line.at("request").get<std::string>());
-    chunk.attempt = core::AttemptNumber(line.at("attempt").get<std::uint64_t>());
-    chunk.offset = core::TokenOffset(line.at("offset").get<std::uint64_t>());
-    chunk.last = line.contains("end");
-    if (chunk.last) {
-      chunk.finishReason = line.at("end").get<std::string>();
-    } else {
-      chunk.text = line.at("text").get<std::string>();
-    }
-    return chunk;
-  } catch (const json::exception& problem) {
-    return core::MakeError(errors::kBadAnswer, problem.what());
-  }
-}
-
 class HttpTokenStream final : public TokenStream
 {
 public:
@@ -64,7 +44,7 @@
     }
     const std::string line = this->pending.substr(0, end);
     this->pending.erase(0, end + 1);
-    return ParseChunk(line);
+    return ParseTokenChunk(line);
   }
 
 private:
@@ -112,28 +92,6 @@
            { "role", RoleName(aOrder.role) } };
 }
 
-absl::StatusOr<EngineReport>
-ParseReport(const json& aAnswer)
-{
-  const auto role = ParseRole(aAnswer.at("role").get<std::string>());
-  if (!role.ok()) {
-    return role.status();
-  }
-  EngineReport report;
-  report.role = *role;
-  report.model = aAnswer.at("model").get<std::string>();
-  report.version = aAnswer.at("version").get<std::string>();
-  report.adapters = aAnswer.at("adapters").get<std::vector<std::string>>();
-  report.changing = aAnswer.at("changing").get<bool>();
-  report.running = aAnswer.at("running").get<std::uint64_t>();
-  report.queued = aAnswer.at("queued").get<std::uint64_t>();
-  report.queuedPrefill = core::TokenCount(aAnswer.at("queued_prefill").get<std::uint64_t>());
-  report.lastOrder = core::OrderId(aAnswer.at("last_order").get<std::string>());
-  report.lastOrderDone = aAnswer.at("last_order_done").get<bool>();
-  report.highestToken = core::FencingToken(aAnswer.at("highest_token").get<std::uint64_t>());
-  return report;
-}
-
 class HttpEngineClient final : public EngineClient
 {
 public:
@@ -170,15 +128,14 @@
 
   absl::StatusOr<EngineReport> ReadReport(const net::Address& aEngine) override
   {
-    const auto answer = this->CallForObject(aEngine, "/v1/report");
-    if (!answer.ok()) {
-      return answer.status();
+    const auto reply = this->Call(aEngine, "GET", "/v1/report", {});
+    if (!reply.ok()) {
+      return reply.status();
     }
-    try {
-      return ParseReport(*answer);
-    } catch (const json::exception& problem) {
-      return core::MakeError(errors::kBadAnswer, problem.what());
+    if (reply->status != kOk) {
+      return core::MakeError(errors::kBadAnswer, "status " + std::to_string(reply->status));
     }
+    return ParseEngineReport(reply->body);
   }
 
   absl::StatusOr<std::vector<CacheEvent>> ReadCacheEvents(const net::Address& aEngine,
