--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -34,6 +34,7 @@
   std::uint16_t port = 0;
   std::string platform;
   apps::Secret operatorKey;
+  apps::Secret resumeKey;
   std::uint16_t peerPort = 0;
   apps::Secret peerKey;
   unsigned peerThreads = 64;
@@ -61,6 +62,10 @@
                   aSettings.operatorKey,
                   "Key that operators prove themselves with; without it all are refused",
                   "Security");
+  aLine.AddSecret("resume-key",
+                  aSettings.resumeKey,
+                  "Key of all instances that signs resume tokens; empty issues none",
+                  "Security");
   aLine
     .Add(
       "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
@@ -80,12 +85,19 @@
          "Time that a stopping instance goes on refusing, for balancers that lag; milliseconds",
          "Traffic")
     ->check(CLI::Range(0, 600'000));
+  aLine.OnCheck([&aSettings]() -> std::string {
+    const bool same = aSettings.port != 0 && aSettings.port == aSettings.peerPort;
+    return same ? "--peer-port: " + std::to_string(aSettings.peerPort) + " is --port as well" : "";
+  });
 }
 
 peers::PeerHandlers
-MakePeerHandlers(requests::RequestContext& aContext)
+MakePeerHandlers(requests::RequestContext& aContext, control::ControlLoop& aLoop)
 {
   peers::PeerHandlers handlers;
+  handlers.calls[control::kLoadRecordsKind] = [&aLoop](const std::string& aBody) {
+    return aLoop.HandleLoadRecords(aBody);
+  };
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
@@ -133,6 +145,7 @@
                                     .claims = *claimBook,
                                     .peers = *peerClient,
                                     .board = board,
+                                    .resume = requests::ResumeSigner(aSettings.resumeKey.Reveal()),
                                     .gate = {},
                                     .ledger = {},
                                     .deployments = {},
@@ -141,15 +154,18 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
-  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
+  control::ControlLoopOptions controlOptions;
+  controlOptions.self = context.instance;
+  controlOptions.zone = context.zone;
+  const auto loop = control::ControlLoop::Start(
+    controlOptions,
+    { *store, *list, *engines, clock, &context.knowledge, peerClient.get() },
+    board);
+  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context, *loop));
   if (!peerServer.ok()) {
     std::cerr << peerServer.status().message() << "\n";
     return apps::kExitFailed;
   }
-  control::ControlLoopOptions controlOptions;
-  controlOptions.zone = context.zone;
-  const auto loop = control::ControlLoop::Start(
-    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -34,6 +34,9 @@
   /// @brief Gives the address for peers that an entry instance printed; port 0 for others.
   net::Address PeerAddress() const;
 
+  /// @brief Gives the process's id, to read what it uses.
+  pid_t Id() const { return this->pid; }
+
   /// @brief Sends a signal.
   void Signal(int aSignal) const;
 
