--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -88,6 +88,10 @@
          "Time that a stopping instance goes on refusing, for balancers that lag; milliseconds",
          "Traffic")
     ->check(CLI::Range(0, 600'000));
+  aLine.OnCheck([&aSettings]() -> std::string {
+    const bool same = aSettings.port != 0 && aSettings.port == aSettings.peerPort;
+    return same ? "--peer-port: " + std::to_string(aSettings.peerPort) + " is --port as well" : "";
+  });
 }
 
 peers::PeerHandlers
--- a/include/plantainslip/control/load_record.hpp
+++ b/include/plantainslip/control/load_record.hpp
@@ -45,7 +45,7 @@
 FormatLoadRecords(const std::vector<LoadRecord>& aRecords);
 
 /// @brief Reads records. Linear in their number.
-/// @return the records, or error 951 (control.bad_message) if the length fits no number of them
+/// @return the records, or error 1101 (control.bad_message) if the length fits no number of them
 absl::StatusOr<std::vector<LoadRecord>>
 ParseLoadRecords(const std::string& aBody);
 
--- a/src/requests/completion_request.cpp
+++ b/src/requests/completion_request.cpp
@@ -1,6 +1,6 @@
 #include <plantainslip/requests/completion_request.hpp>
 
-#include <nlohmann/json.hpp>
+#include <core/bounded_json.hpp>
 
 #include <plantainslip/requests/errors.hpp>
 
@@ -18,7 +18,6 @@
 constexpr std::int64_t kMostDeadlineMs = 3'600'000;
 constexpr std::size_t kLongestNameBytes = 200;
 constexpr std::size_t kLongestResumeBytes = 4096;
-constexpr int kDeepestNesting = 32;
 
 absl::Status
 Bad(const std::string& aField, const std::string& aWhat)
@@ -68,20 +67,6 @@
   return found->get<std::int64_t>();
 }
 
-// Deep nesting would cost stack in a recursive reader, and no field of a request needs it.
-json
-ParseShallow(const std::string& aBody)
-{
-  bool tooDeep = false;
-  const json::parser_callback_t checkDepth =
-    [&](int aDepth, json::parse_event_t /*aEvent*/, json& /*aParsed*/) {
-      tooDeep = tooDeep || aDepth > kDeepestNesting;
-      return !tooDeep;
-    };
-  json body = json::parse(aBody, checkDepth, false);
-  return tooDeep ? json(json::value_t::discarded) : body;
-}
-
 absl::Status
 ReadTexts(const json& aBody, CompletionRequest& aRequest)
 {
@@ -127,7 +112,12 @@
 absl::StatusOr<CompletionRequest>
 ParseCompletionRequest(const std::string& aBody)
 {
-  const json body = ParseShallow(aBody);
+  const auto parsed = core::ParseBoundedJson(aBody);
+  if (!parsed.ok()) {
+    return core::MakeError(errors::kBadRequest,
+                           "the body " + std::string(parsed.status().message()));
+  }
+  const json& body = *parsed;
   if (!body.is_object()) {
     return core::MakeError(errors::kBadRequest, "the body is not a JSON object");
   }
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -42,14 +42,18 @@
   std::uint64_t tokens = 0;
 };
 
-// Callers may send any name, so only configured ones are counted apart.
-observe::DeploymentCounters&
-CountersOf(RequestContext& aContext, const core::DeploymentName& aDeployment)
+// Callers may send any name, so only configured ones are counted apart. A request that another
+// instance spilled over is counted there, where its caller is; nothing is given for it here.
+observe::DeploymentCounters*
+CountersOf(RequestContext& aContext, const core::DeploymentName& aDeployment, bool aSpilled)
 {
+  if (aSpilled) {
+    return nullptr;
+  }
   const auto view = aContext.board.Current();
   const bool known =
     view->configuration != nullptr && view->configuration->deployments.contains(aDeployment);
-  return aContext.deployments.Of(known ? aDeployment : core::DeploymentName("unknown"));
+  return &aContext.deployments.Of(known ? aDeployment : core::DeploymentName("unknown"));
 }
 
 // One completion from its first attempt to its end.
@@ -65,7 +69,7 @@
     , requestId(aStart.request)
     , sink(aSink)
     , assembly(aStart.request, aStart.offset)
-    , counters(CountersOf(aContext, aRequest.deployment))
+    , counters(CountersOf(aContext, aRequest.deployment, !aStart.maySpill))
     , begunAt(aContext.clock.Now())
     , lastTokenAt(this->begunAt)
     , deadline(this->begunAt + aRequest.deadline)
@@ -79,7 +83,9 @@
   RequestEnd Run()
   {
     const RequestEnd end = this->RunToEnd();
-    this->counters.CountEnd(end);
+    if (this->counters != nullptr) {
+      this->counters->CountEnd(end);
+    }
     return end;
   }
 
@@ -338,19 +344,29 @@
     const core::MonotonicTime now = this->context.clock.Now();
     if (aChunk.offset == this->startOffset) {
       this->context.firstToken.Record(now - this->begunAt);
-      this->counters.CountFirstToken(now - this->begunAt);
     } else {
       this->context.betweenTokens.Record(now - this->lastTokenAt);
-      this->counters.CountTokenGap(now - this->lastTokenAt);
     }
+    this->CountToken(aChunk.offset == this->startOffset, now);
     this->lastTokenAt = now;
     if (this->times.tokens++ == 0) {
       this->times.firstTokenAt = now;
     }
-    this->lastTokenAt = now;
     return this->sink.Text(aChunk.offset, aChunk.text);
   }
 
+  void CountToken(bool aFirst, core::MonotonicTime aNow)
+  {
+    if (this->counters == nullptr) {
+      return;
+    }
+    if (aFirst) {
+      this->counters->CountFirstToken(aNow - this->begunAt);
+    } else {
+      this->counters->CountTokenGap(aNow - this->lastTokenAt);
+    }
+  }
+
   // An attempt without a first token has waited until now, at the least.
   void TeachWait(const routing::RankedEngine& aRanked)
   {
@@ -430,7 +446,7 @@
   core::RequestId requestId;
   AnswerSink& sink;
   AnswerAssembly assembly;
-  observe::DeploymentCounters& counters;
+  observe::DeploymentCounters* counters;
   core::MonotonicTime begunAt;
   core::MonotonicTime lastTokenAt;
   core::MonotonicTime deadline;
