--- a/include/plantainslip/control/errors.hpp
+++ b/include/plantainslip/control/errors.hpp
@@ -2,11 +2,11 @@
 
 #include <plantainslip/core/error.hpp>
 
-/// @brief Errors of the control layer, numbers 950 to 999.
+/// @brief Errors of the control layer, numbers 1100 to 1199.
 namespace plantainslip::control::errors {
 
 /// @brief A peer's message cannot be read. Example: load records that are cut in the middle.
-inline constexpr core::ErrorDescription kBadMessage{ 951,
+inline constexpr core::ErrorDescription kBadMessage{ 1101,
                                                      "control.bad_message",
                                                      absl::StatusCode::kInvalidArgument };
 
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -9,6 +9,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/limits/limit_gate.hpp>
 #include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
@@ -61,6 +62,8 @@
   authority::DrainMarks drainMarks{ inFlight };
   /// @brief What the zone's controller plans roles by.
   roles::DemandCounter demand{};
+  /// @brief Limits of workspaces; null admits everything.
+  limits::LimitGate* limits = nullptr;
 };
 
 } // namespace plantainslip::requests
--- a/include/plantainslip/retries/retry_policy.hpp
+++ b/include/plantainslip/retries/retry_policy.hpp
@@ -78,6 +78,21 @@
 std::chrono::milliseconds
 DrawBackOff(const RetryOptions& aOptions, std::uint64_t aAttempts, core::RandomSource& aRandom);
 
+/// @brief Longest time that an answer which has begun waits for a target; longer than a target is
+///        away for a change.
+inline constexpr std::chrono::seconds kLongestPlaceWait{ 10 };
+/// @brief Time between two looks for a target. No target is called, so no budget is needed.
+inline constexpr std::chrono::milliseconds kPlacePollInterval{ 100 };
+
+/// @brief Tells whether an answer that has begun may go on waiting for a target.
+/// @param aSince  when the wait began
+/// @param aDeadline  moment at which the caller gives up
+/// @return false after #kLongestPlaceWait or the deadline; constant time, no errors
+bool
+MayWaitForPlace(core::MonotonicTime aSince,
+                core::MonotonicTime aDeadline,
+                core::MonotonicTime aNow);
+
 /// @brief Decides whether a failed attempt is followed by another, and takes it out of the budget.
 /// @param aFailed  the attempt
 /// @param aNow  present moment
--- a/include/plantainslip/roles/demand_counter.hpp
+++ b/include/plantainslip/roles/demand_counter.hpp
@@ -59,7 +59,7 @@
 FormatDigest(const DemandDigest& aDigest);
 
 /// @brief Reads what FormatDigest() wrote.
-/// @return the digest, or error 951 (roles.bad_digest)
+/// @return the digest, or error 1201 (roles.bad_digest)
 absl::StatusOr<DemandDigest>
 ParseDigest(const std::string& aBody);
 
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -1,11 +1,13 @@
 #include <plantainslip/requests/completions.hpp>
 
-#include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <thread>
 
+#include <plantainslip/admission/errors.hpp>
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/limits/errors.hpp>
 #include <plantainslip/net/errors.hpp>
 #include <plantainslip/requests/answer_assembly.hpp>
 #include <plantainslip/requests/answer_sink.hpp>
@@ -24,9 +26,6 @@
 
 constexpr std::chrono::milliseconds kLongestEngineSilence = std::chrono::seconds(30);
 
-constexpr std::chrono::milliseconds kLongestWaitForDrain = std::chrono::seconds(20);
-constexpr std::chrono::milliseconds kDrainPoll{ 20 };
-
 enum class AttemptEnd
 {
   kFinished,
@@ -43,14 +42,18 @@
   std::uint64_t tokens = 0;
 };
 
-// Callers may send any name, so only configured ones are counted apart.
-observe::DeploymentCounters&
-CountersOf(RequestContext& aContext, const core::DeploymentName& aDeployment)
+// Callers may send any name, so only configured ones are counted apart. A request that another
+// instance spilled over is counted there, where its caller is; nothing is given for it here.
+observe::DeploymentCounters*
+CountersOf(RequestContext& aContext, const core::DeploymentName& aDeployment, bool aSpilled)
 {
+  if (aSpilled) {
+    return nullptr;
+  }
   const auto view = aContext.board.Current();
   const bool known =
     view->configuration != nullptr && view->configuration->deployments.contains(aDeployment);
-  return aContext.deployments.Of(known ? aDeployment : core::DeploymentName("unknown"));
+  return &aContext.deployments.Of(known ? aDeployment : core::DeploymentName("unknown"));
 }
 
 // One completion from its first attempt to its end.
@@ -66,7 +69,7 @@
     , requestId(aStart.request)
     , sink(aSink)
     , assembly(aStart.request, aStart.offset)
-    , counters(CountersOf(aContext, aRequest.deployment))
+    , counters(CountersOf(aContext, aRequest.deployment, !aStart.maySpill))
     , begunAt(aContext.clock.Now())
     , lastTokenAt(this->begunAt)
     , deadline(this->begunAt + aRequest.deadline)
@@ -80,7 +83,9 @@
   RequestEnd Run()
   {
     const RequestEnd end = this->RunToEnd();
-    this->counters.CountEnd(end);
+    if (this->counters != nullptr) {
+      this->counters->CountEnd(end);
+    }
     return end;
   }
 
@@ -100,7 +105,7 @@
     this->context.retryBudget.AddRequest();
     this->CountDemand();
     for (;;) {
-      const auto place = this->Place();
+      const auto place = this->AwaitPlace();
       if (!place.has_value()) {
         return this->GiveUp();
       }
@@ -130,21 +135,15 @@
     if (!this->HasBegun()) {
       this->version = this->startVersion;
     }
-    const bool admitted = this->assembly.Attempt().Number() > 0;
-    PlacementQuery query{ this->request,  this->version,       this->deadline,   admitted,
-                          this->maySpill, this->failedEngines, this->failedPeers };
+    const bool admitted = this->triedEngine || this->outcome != core::Outcome::kNotRun;
+    PlacementQuery query{ this->request,  this->version,         this->deadline,   admitted,
+                          this->maySpill, this->FailedEngines(), this->failedPeers };
     NoPlace noPlace;
     auto place = FindPlace(this->context, query, noPlace);
-    // An answer that has begun waits for an engine that is being changed rather than end cut.
-    const core::MonotonicTime patience = this->context.clock.Now() + kLongestWaitForDrain;
-    while (!place.has_value() && this->HasBegun() && this->IsAnyDraining() &&
-           this->context.clock.Now() < std::min(patience, this->deadline)) {
-      std::this_thread::sleep_for(kDrainPoll);
-      place = FindPlace(this->context, query, noPlace);
-    }
-    if (!place.has_value() && !this->failedEngines.empty()) {
-      // Every other place is used up, so those that failed before are tried again.
-      query.failedEngines.clear();
+    if (!place.has_value() && !this->failedAt.empty()) {
+      // Every other place is used up, so engines that have reported since they failed are tried
+      // again; one that is silent is likely to be dead.
+      query.failedEngines = this->SilentEngines();
       place = FindPlace(this->context, query, noPlace);
     }
     if (!place.has_value()) {
@@ -154,13 +153,40 @@
     return place;
   }
 
-  bool IsAnyDraining() const
+  std::set<core::TargetId> FailedEngines() const
   {
-    const auto draining = this->context.drainMarks.Draining();
-    const auto view = this->context.board.Current();
-    return std::any_of(view->engines.begin(), view->engines.end(), [&](const auto& aEngine) {
-      return aEngine.deployment == this->request.deployment && draining.contains(aEngine.target);
-    });
+    std::set<core::TargetId> failed;
+    for (const auto& [target, at] : this->failedAt) {
+      failed.insert(target);
+    }
+    return failed;
+  }
+
+  std::set<core::TargetId> SilentEngines() const
+  {
+    std::set<core::TargetId> silent = this->FailedEngines();
+    for (const control::EngineView& engine : this->context.board.Current()->engines) {
+      const auto failed = this->failedAt.find(engine.target);
+      const bool reported = failed != this->failedAt.end() && engine.report.has_value() &&
+                            engine.reportedAt > failed->second;
+      if (reported) {
+        silent.erase(engine.target);
+      }
+    }
+    return silent;
+  }
+
+  // Giving up would cut an answer that the caller has a part of, so a place is waited for.
+  std::optional<Placement> AwaitPlace()
+  {
+    const core::MonotonicTime waitingSince = this->context.clock.Now();
+    auto place = this->Place();
+    while (!place.has_value() && this->HasBegun() &&
+           retries::MayWaitForPlace(waitingSince, this->deadline, this->context.clock.Now())) {
+      std::this_thread::sleep_for(retries::kPlacePollInterval);
+      place = this->Place();
+    }
+    return place;
   }
 
   bool WaitForRetry()
@@ -215,6 +241,7 @@
   AttemptEnd TryEngine(const routing::RankedEngine& aRanked)
   {
     const control::EngineView& engine = aRanked.engine;
+    this->triedEngine = true;
     this->times = { this->context.clock.Now(), {}, 0 };
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
@@ -226,7 +253,8 @@
     if (end == AttemptEnd::kFinished) {
       this->TeachCapacity(aRanked);
     } else if (end == AttemptEnd::kFailed) {
-      this->failedEngines.insert(engine.target);
+      this->failedAt[engine.target] = this->context.clock.Now();
+      this->context.knowledge.capacity.AddFailure(engine.target, this->context.clock.Now());
     } else {
       this->CancelAt(engine);
     }
@@ -329,19 +357,29 @@
     const core::MonotonicTime now = this->context.clock.Now();
     if (aChunk.offset == this->startOffset) {
       this->context.firstToken.Record(now - this->begunAt);
-      this->counters.CountFirstToken(now - this->begunAt);
     } else {
       this->context.betweenTokens.Record(now - this->lastTokenAt);
-      this->counters.CountTokenGap(now - this->lastTokenAt);
     }
+    this->CountToken(aChunk.offset == this->startOffset, now);
     this->lastTokenAt = now;
     if (this->times.tokens++ == 0) {
       this->times.firstTokenAt = now;
     }
-    this->lastTokenAt = now;
     return this->sink.Text(aChunk.offset, aChunk.text);
   }
 
+  void CountToken(bool aFirst, core::MonotonicTime aNow)
+  {
+    if (this->counters == nullptr) {
+      return;
+    }
+    if (aFirst) {
+      this->counters->CountFirstToken(aNow - this->begunAt);
+    } else {
+      this->counters->CountTokenGap(aNow - this->lastTokenAt);
+    }
+  }
+
   // An attempt without a first token has waited until now, at the least.
   void TeachWait(const routing::RankedEngine& aRanked)
   {
@@ -400,7 +438,9 @@
   absl::Status Cause() const
   {
     const bool neverTried = this->assembly.Attempt().Number() == 0;
-    if (neverTried || core::IsError(this->failure, errors::kDeadlinePassed)) {
+    const bool notAdmitted = core::IsError(this->failure, admission::errors::kOverloaded) ||
+                             core::IsError(this->failure, admission::errors::kDeadlineTooNear);
+    if (neverTried || notAdmitted || core::IsError(this->failure, errors::kDeadlinePassed)) {
       return this->failure;
     }
     return core::MakeError(errors::kTargetsFailed, this->failure.message());
@@ -419,16 +459,17 @@
   core::RequestId requestId;
   AnswerSink& sink;
   AnswerAssembly assembly;
-  observe::DeploymentCounters& counters;
+  observe::DeploymentCounters* counters;
   core::MonotonicTime begunAt;
   core::MonotonicTime lastTokenAt;
   core::MonotonicTime deadline;
   bool maySpill;
+  bool triedEngine = false;
   std::string startVersion;
   std::string version;
   core::TokenOffset startOffset;
   AttemptTimes times;
-  std::set<core::TargetId> failedEngines;
+  std::map<core::TargetId, core::MonotonicTime> failedAt;
   std::set<core::InstanceId> failedPeers;
   core::Outcome outcome = core::Outcome::kNotRun;
   absl::Status failure;
@@ -447,6 +488,22 @@
                          body.status().message());
 }
 
+// A request is charged where it comes in, with all tokens that it may take.
+limits::LimitDecision
+AskLimit(RequestContext& aContext, const CompletionRequest& aRequest)
+{
+  const auto view = aContext.board.Current();
+  if (aContext.limits == nullptr || view->configuration == nullptr) {
+    return {};
+  }
+  const config::Configuration& configuration = *view->configuration;
+  const auto own = configuration.limits.find(aRequest.workspace);
+  const config::WorkspaceLimit& limit =
+    own == configuration.limits.end() ? configuration.defaultLimit : own->second;
+  const core::TokenCount tokens(aRequest.maxTokens.Number() - aRequest.resumeOffset.Number());
+  return aContext.limits->Admit(aRequest.workspace, limit, tokens);
+}
+
 } // namespace
 
 RequestEnd
@@ -471,6 +528,12 @@
     const Problem problem{ usable, core::Outcome::kNotRun, aRequest };
     return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
   }
+  const limits::LimitDecision limit = AskLimit(aContext, *request);
+  if (!limit.admitted) {
+    const absl::Status cause = core::MakeError(limits::errors::kLimited, request->workspace.Text());
+    const Problem problem{ cause, core::Outcome::kNotRun, aRequest, limit.RetryAfter() };
+    return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
+  }
   const std::string model = request->deployment.Text();
   const auto sink = request->stream ? MakeEventSink(aExchange, aRequest, model)
                                     : MakeJsonSink(aExchange, aRequest, model);
--- a/tests/src/process-resume.cpp
+++ b/tests/src/process-resume.cpp
@@ -131,6 +131,8 @@
     }
   });
   REQUIRE_FALSE(cut.whole);
+  // The platform takes a dead instance off its list; until then a change of an engine waits for it.
+  harness::Send(fleet.Platform(), "DELETE", "/v1/instances?name=entry-1");
   const std::string expected = fakes::ExpectedAnswer("m@1", "dossier", kTokens);
   REQUIRE(expected.starts_with(cut.text));
   json again = Prompt("dossier");
