--- a/src/requests/answer_sink.cpp
+++ b/src/requests/answer_sink.cpp
@@ -40,7 +40,7 @@
   {
   }
 
-  void OfferResume(std::string aToken) override { this->resume = std::move(aToken); }
+  void OfferResume(const std::string& aToken) override { this->resume = aToken; }
 
   bool Text(core::TokenOffset aOffset, const std::string& aText) override
   {
--- a/tests/fakes/prefix_cache.hpp
+++ b/tests/fakes/prefix_cache.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <list>
+#include <ranges>
 #include <unordered_map>
 #include <vector>
 
@@ -32,8 +33,8 @@
       ++held;
     }
     // The first pieces are the most shared, so they are made the newest.
-    for (auto piece = aPieces.rbegin(); piece != aPieces.rend(); ++piece) {
-      this->Keep(*piece);
+    for (const std::uint64_t piece : std::ranges::reverse_view(aPieces)) {
+      this->Keep(piece);
     }
     while (this->places.size() > this->mostPieces) {
       this->Note(this->newest.back(), false);
--- a/tests/src/unit-spill-over.cpp
+++ b/tests/src/unit-spill-over.cpp
@@ -265,7 +265,14 @@
   CHECK(read->version == "1");
   CHECK(read->completion.priority == -4);
   CHECK(read->completion.deadline == std::chrono::minutes(1));
-  CHECK(!requests::ParseSpilledCompletion("no CBOR").ok());
+}
+
+TEST_CASE("a spilled completion that is cut anywhere is refused")
+{
+  const std::string message = requests::FormatSpilledCompletion(Spilled());
+  for (std::size_t length = 0; length < message.size(); ++length) {
+    CHECK_FALSE(requests::ParseSpilledCompletion(message.substr(0, length)).ok());
+  }
 }
 
 TEST_CASE("a peer's failure is told as not run only where that is proven")
