--- a/src/requests/operator_calls.cpp
+++ b/src/requests/operator_calls.cpp
@@ -1,6 +1,6 @@
 #include <plantainslip/requests/operator_calls.hpp>
 
-#include <nlohmann/json.hpp>
+#include <core/bounded_json.hpp>
 #include <openssl/crypto.h>
 
 #include <plantainslip/config/commands/submit_patch.hpp>
@@ -15,7 +15,16 @@
 
 constexpr int kOk = 200;
 constexpr std::size_t kLargestPatchBytes = 1'000'000;
+constexpr core::JsonBounds kPatchBounds{ 32, kLargestPatchBytes };
 constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kOrderPrefix = "orders/";
+
+// Names come from outside; bytes that are no UTF-8 must not break the answer.
+std::string
+Dump(const json& aAnswer)
+{
+  return aAnswer.dump(-1, ' ', false, json::error_handler_t::replace);
+}
 
 bool
 IsOperator(const RequestContext& aContext, const net::HttpExchange& aExchange)
@@ -62,8 +71,13 @@
   if (!body.ok()) {
     return core::MakeError(errors::kBadRequest, body.status().message());
   }
+  const auto parsed = core::ParseBoundedJson(*body, kPatchBounds);
+  if (!parsed.ok()) {
+    return core::MakeError(errors::kBadRequest,
+                           "the body " + std::string(parsed.status().message()));
+  }
   try {
-    const json text = json::parse(*body);
+    const json& text = *parsed;
     config::PatchSubmission submission;
     submission.patch = core::PatchId(text.at("patch").get<std::string>());
     submission.base = core::ConfigVersion(text.at("base").get<std::uint64_t>());
@@ -88,7 +102,7 @@
     Refuse(aExchange, record.status());
     return;
   }
-  aExchange.Respond(kOk, "application/json", ToJson(*record).dump());
+  aExchange.Respond(kOk, "application/json", Dump(ToJson(*record)));
 }
 
 json
@@ -142,7 +156,28 @@
                                     { "address", entry.address.Text() },
                                     { "leaving", entry.leaving } });
   }
-  aExchange.Respond(kOk, "application/json", answer.dump());
+  aExchange.Respond(kOk, "application/json", Dump(answer));
+}
+
+// Entries are shown as they lie in the journal; one that cannot be read is shown by its name.
+void
+ShowOrders(RequestContext& aContext, net::HttpExchange& aExchange)
+{
+  const auto entries = aContext.store.List(std::string(kOrderPrefix));
+  if (!entries.ok()) {
+    Refuse(aExchange, entries.status());
+    return;
+  }
+  json answer = { { "orders", json::array() } };
+  for (const platform::KeyedValue& entry : *entries) {
+    json line = json::parse(entry.stored.value, nullptr, false);
+    if (!line.is_object()) {
+      line = { { "phase", "cannot be read" } };
+    }
+    line["target"] = entry.key.substr(kOrderPrefix.size());
+    answer["orders"].push_back(std::move(line));
+  }
+  aExchange.Respond(kOk, "application/json", Dump(answer));
 }
 
 } // namespace
@@ -161,6 +196,13 @@
     TakePatch(aContext, aExchange);
   } else if (call == "GET /v1/operator/fleet") {
     ShowFleet(aContext, aExchange);
+  } else if (call == "GET /v1/operator/orders") {
+    ShowOrders(aContext, aExchange);
+  } else if (call == "POST /v1/operator/drains") {
+    Refuse(aExchange,
+           core::MakeError(errors::kNoSuchPath,
+                           "this version drains through the platform's list and through orders; "
+                           "mark the instance as leaving there"));
   } else {
     Refuse(aExchange, core::MakeError(errors::kNoSuchPath, call));
   }
--- a/tests/src/unit-retries.cpp
+++ b/tests/src/unit-retries.cpp
@@ -85,3 +85,15 @@
     CHECK((attempts > 1 || wait <= options.firstBackOff));
   }
 }
+
+TEST_CASE("an answer that has begun waits for a target")
+{
+  const core::ManualClock clock;
+  const core::MonotonicTime now = clock.Now();
+  const auto later = std::chrono::minutes(10);
+  CHECK(retries::MayWaitForPlace(now, now + later, now));
+  CHECK(retries::MayWaitForPlace(now, now + later, now + std::chrono::seconds(9)));
+  CHECK_FALSE(retries::MayWaitForPlace(now, now + later, now + std::chrono::seconds(10)));
+  CHECK_FALSE(
+    retries::MayWaitForPlace(now, now + std::chrono::seconds(1), now + std::chrono::seconds(1)));
+}
