Cancel at the engine when a caller without streaming goes

Cause: an answer that is gathered for one JSON object writes nothing before its end, so a caller that had gone was noticed only then, and the engine worked on for nobody.

Change: the exchange tells whether the caller has closed its side; the gathering sink asks with each token. Found by a test that was red first: without the check the test "an engine stops when the caller goes" gives up after half a minute without streaming, and passes with streaming.

--- a/include/plantainslip/net/http_server.hpp
+++ b/include/plantainslip/net/http_server.hpp
@@ -45,6 +45,11 @@
   /// @return the body, or error 204 (net.body_too_large) or 205 (net.body_truncated)
   virtual absl::StatusOr<std::string> ReadBody(std::size_t aLimit) = 0;
 
+  /// @brief Tells whether the caller has closed its side of the connection, without sending
+  ///        anything. A caller that closes only its sending side counts as gone too.
+  /// @return false if that cannot be told; one system call, and a search on the first call
+  virtual bool CallerGone() { return false; }
+
   /// @brief Sends a whole answer.
   /// @param aStatus  HTTP status
   /// @param aContentType  media type of the body
--- a/include/plantainslip/requests/answer_sink.hpp
+++ b/include/plantainslip/requests/answer_sink.hpp
@@ -18,7 +18,7 @@
   /// @brief Takes the token by which the caller can go on with the answer if it is cut. A streamed
   ///        answer gives it in its head and in its first piece; later ones change nothing.
   /// @param aToken  empty if there is none
-  virtual void OfferResume(std::string /*aToken*/) {}
+  virtual void OfferResume(const std::string& /*aToken*/) {}
 
   /// @brief Takes the next piece of the answer.
   /// @param aOffset  position of the piece, in tokens
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,7 +4,11 @@
 #include <array>
 #include <mutex>
 
+#include <arpa/inet.h>
 #include <civetweb.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
 
 #include <plantainslip/net/errors.hpp>
 
@@ -15,6 +19,9 @@
 constexpr std::size_t kReadBytes = 16'384;
 constexpr std::size_t kQueryValueBytes = 4096;
 constexpr int kHandled = 200;
+constexpr int kMostSockets = 65'536;
+constexpr int kNoSocket = -1;
+constexpr int kUnsearched = -2;
 
 std::string
 StatusLine(int aStatus, std::string_view aContentType, const std::vector<Header>& aHeaders)
@@ -28,6 +35,34 @@
   return head;
 }
 
+// CivetWeb does not give its socket out, so it is found by both its ends.
+bool
+IsConnectionOf(int aSocket, const mg_request_info& aInfo)
+{
+  sockaddr_in peer{};
+  sockaddr_in own{};
+  socklen_t peerLength = sizeof(peer);
+  socklen_t ownLength = sizeof(own);
+  std::array<char, INET_ADDRSTRLEN> host{};
+  return getpeername(aSocket, reinterpret_cast<sockaddr*>(&peer), &peerLength) == 0 &&
+         peer.sin_family == AF_INET && ntohs(peer.sin_port) == aInfo.remote_port &&
+         getsockname(aSocket, reinterpret_cast<sockaddr*>(&own), &ownLength) == 0 &&
+         ntohs(own.sin_port) == aInfo.server_port &&
+         inet_ntop(AF_INET, &peer.sin_addr, host.data(), host.size()) != nullptr &&
+         std::string_view(host.data()) == aInfo.remote_addr;
+}
+
+int
+FindSocket(const mg_request_info& aInfo)
+{
+  for (int socket = 0; socket < kMostSockets; ++socket) {
+    if (IsConnectionOf(socket, aInfo)) {
+      return socket;
+    }
+  }
+  return kNoSocket;
+}
+
 class CivetExchange final : public HttpExchange
 {
 public:
@@ -86,6 +121,16 @@
     return body;
   }
 
+  // The socket stays this exchange's own until the handler returns.
+  bool CallerGone() override
+  {
+    if (this->socket == kUnsearched) {
+      this->socket = FindSocket(*this->info);
+    }
+    pollfd watched{ this->socket, POLLRDHUP, 0 };
+    return this->socket != kNoSocket && poll(&watched, 1, 0) > 0;
+  }
+
   bool Respond(int aStatus,
                std::string_view aContentType,
                std::string_view aBody,
@@ -124,6 +169,7 @@
 
   mg_connection* connection;
   const mg_request_info* info;
+  int socket = kUnsearched;
 };
 
 class CivetServer final : public HttpServer
--- a/src/requests/answer_sink.cpp
+++ b/src/requests/answer_sink.cpp
@@ -40,7 +40,7 @@
   {
   }
 
-  void OfferResume(std::string aToken) override { this->resume = std::move(aToken); }
+  void OfferResume(const std::string& aToken) override { this->resume = aToken; }
 
   bool Text(core::TokenOffset aOffset, const std::string& aText) override
   {
@@ -104,7 +104,7 @@
   bool Text(core::TokenOffset /*aOffset*/, const std::string& aText) override
   {
     this->gathered += aText;
-    return true;
+    return !this->exchange.CallerGone();
   }
 
   bool Finish(const std::string& aReason, core::TokenOffset aLength) override
--- a/tests/src/process-resume.cpp
+++ b/tests/src/process-resume.cpp
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <future>
+
 #include <fakes/expected_answer.hpp>
 #include <harness/small_fleet.hpp>
 
@@ -65,7 +68,7 @@
   return aAnswer.raw.substr(from, aAnswer.raw.find('"', from) - from);
 }
 
-// Cuts off a piece that did not arrive whole, as a caller does.
+// Each token of the fakes ends with a space.
 std::uint64_t
 CountTokens(const std::string& aText)
 {
@@ -96,6 +99,40 @@
   CHECK(answer.text == fakes::ExpectedAnswer("m@1", "dossier", kTokens));
 }
 
+TEST_CASE("an engine stops when the caller goes")
+{
+  harness::SmallFleet fleet;
+  auto& entry = fleet.AddEntry("entry-1", "a", kFlags);
+  fleet.AddController("entry-1", "a");
+  auto& engine = fleet.AddEngine("engine-1", "a", kSlow);
+  auto& other = fleet.AddEngine("engine-2", "a", kSlow);
+  REQUIRE(harness::SmallFleet::Patch(entry, 0, Configuration("1")) == 200);
+  AwaitServing(entry, { &engine, &other });
+  json prompt = Prompt("dossier");
+  // More than the engine produces while the test waits.
+  prompt["max_tokens"] = 100'000;
+  SUBCASE("with streaming") {}
+  SUBCASE("without streaming")
+  {
+    prompt["stream"] = false;
+  }
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/completions";
+  request.body = prompt.dump();
+  request.timeout = std::chrono::seconds(3);
+  std::promise<void> running;
+  auto caller = std::async(std::launch::async, [&] {
+    // Without streaming no head comes, and the caller goes when its patience ends.
+    const auto stream = net::HttpStream::Open(entry.ListeningAddress(), request);
+    running.get_future().wait();
+  });
+  harness::Await("an engine works", [&] { return IsRunning(engine) || IsRunning(other); });
+  running.set_value();
+  caller.wait();
+  harness::Await("no engine works", [&] { return !IsRunning(engine) && !IsRunning(other); });
+}
+
 TEST_CASE("an answer whose entry instance is killed is resumed at another at the exact offset")
 {
   harness::SmallFleet fleet;
