--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,10 +2,13 @@
 
 #include <iostream>
 
+#include <plantainslip/authority/drain_messages.hpp>
 #include <plantainslip/claims/bucket_owner.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/control_loop.hpp>
+#include <plantainslip/control/drain_mark_learner.hpp>
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/limits/limit_gate.hpp>
 #include <plantainslip/net/http_server.hpp>
 #include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/peers/peer_server.hpp>
@@ -64,7 +67,7 @@
                   "Security");
   aLine.AddSecret("resume-key",
                   aSettings.resumeKey,
-                  "Key of all instances that signs resume tokens; empty issues none",
+                  "Key of all instances that signs resume tokens; without it none are issued",
                   "Security");
   aLine
     .Add(
@@ -101,10 +104,22 @@
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
+  handlers.calls[limits::kReportMessage] = [&aContext](const std::string& aBody) {
+    return aContext.limits->HandleReport(aBody);
+  };
+  handlers.calls[limits::kAskMessage] = [&aContext](const std::string& aBody) {
+    return aContext.limits->HandleAsk(aBody);
+  };
   handlers.streams[requests::kSpillKind] = [&aContext](const std::string& aBody,
                                                        const peers::SendPiece& aSend) {
     return requests::HandleSpilledCompletion(aContext, aBody, aSend);
   };
+  handlers.calls[authority::kDrainMarkKind] = [&aContext](const std::string& aBody) {
+    return authority::AnswerDrainMark(aContext.drainMarks, aBody);
+  };
+  handlers.calls[authority::kDrainMarksKind] = [&aContext](const std::string&) {
+    return authority::AnswerDrainMarks(aContext.drainMarks);
+  };
   return handlers;
 }
 
@@ -154,6 +169,9 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
+  const auto limitGate = limits::MakeLimitGate(
+    {}, self, { clock, *peerClient, [&] { return board.Current()->entries; } });
+  context.limits = limitGate.get();
   control::ControlLoopOptions controlOptions;
   controlOptions.self = context.instance;
   controlOptions.zone = context.zone;
@@ -166,6 +184,8 @@
     std::cerr << peerServer.status().message() << "\n";
     return apps::kExitFailed;
   }
+  const auto learner = control::DrainMarkLearner::Start(
+    { *store, *peerClient, board, context.drainMarks }, context.instance, context.zone);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
--- a/scripts/start-fleet.sh
+++ b/scripts/start-fleet.sh
@@ -14,6 +14,7 @@
 mkdir -p $logs
 export PLANTAINSLIP_OPERATOR_KEY=${PLANTAINSLIP_OPERATOR_KEY:-example-operator-key}
 export PLANTAINSLIP_PEER_KEY=${PLANTAINSLIP_PEER_KEY:-example-peer-key}
+export PLANTAINSLIP_RESUME_KEY=${PLANTAINSLIP_RESUME_KEY:-example-resume-key}
 platform=127.0.0.1:$((first + 90))
 processes=""
 stop_fleet() {
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -1,10 +1,13 @@
 #include <plantainslip/requests/completions.hpp>
 
+#include <map>
 #include <optional>
 #include <set>
 #include <thread>
 
+#include <plantainslip/admission/errors.hpp>
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/limits/errors.hpp>
 #include <plantainslip/net/errors.hpp>
 #include <plantainslip/requests/answer_assembly.hpp>
 #include <plantainslip/requests/answer_sink.hpp>
@@ -91,7 +94,7 @@
   {
     this->context.retryBudget.AddRequest();
     for (;;) {
-      const auto place = this->Place();
+      const auto place = this->AwaitPlace();
       if (!place.has_value()) {
         return this->GiveUp();
       }
@@ -119,14 +122,15 @@
     if (!this->HasBegun()) {
       this->version = this->startVersion;
     }
-    const bool admitted = this->assembly.Attempt().Number() > 0;
-    PlacementQuery query{ this->request,  this->version,       this->deadline,   admitted,
-                          this->maySpill, this->failedEngines, this->failedPeers };
+    const bool admitted = this->triedEngine || this->outcome != core::Outcome::kNotRun;
+    PlacementQuery query{ this->request,  this->version,         this->deadline,   admitted,
+                          this->maySpill, this->FailedEngines(), this->failedPeers };
     NoPlace noPlace;
     auto place = FindPlace(this->context, query, noPlace);
-    if (!place.has_value() && !this->failedEngines.empty()) {
-      // Every other place is used up, so those that failed before are tried again.
-      query.failedEngines.clear();
+    if (!place.has_value() && !this->failedAt.empty()) {
+      // Every other place is used up, so engines that have reported since they failed are tried
+      // again; one that is silent is likely to be dead.
+      query.failedEngines = this->SilentEngines();
       place = FindPlace(this->context, query, noPlace);
     }
     if (!place.has_value()) {
@@ -136,6 +140,42 @@
     return place;
   }
 
+  std::set<core::TargetId> FailedEngines() const
+  {
+    std::set<core::TargetId> failed;
+    for (const auto& [target, at] : this->failedAt) {
+      failed.insert(target);
+    }
+    return failed;
+  }
+
+  std::set<core::TargetId> SilentEngines() const
+  {
+    std::set<core::TargetId> silent = this->FailedEngines();
+    for (const control::EngineView& engine : this->context.board.Current()->engines) {
+      const auto failed = this->failedAt.find(engine.target);
+      const bool reported = failed != this->failedAt.end() && engine.report.has_value() &&
+                            engine.reportedAt > failed->second;
+      if (reported) {
+        silent.erase(engine.target);
+      }
+    }
+    return silent;
+  }
+
+  // Giving up would cut an answer that the caller has a part of, so a place is waited for.
+  std::optional<Placement> AwaitPlace()
+  {
+    const core::MonotonicTime waitingSince = this->context.clock.Now();
+    auto place = this->Place();
+    while (!place.has_value() && this->HasBegun() &&
+           retries::MayWaitForPlace(waitingSince, this->deadline, this->context.clock.Now())) {
+      std::this_thread::sleep_for(retries::kPlacePollInterval);
+      place = this->Place();
+    }
+    return place;
+  }
+
   bool WaitForRetry()
   {
     const retries::FailedAttempt failed{
@@ -188,12 +228,11 @@
   AttemptEnd TryEngine(const routing::RankedEngine& aRanked)
   {
     const control::EngineView& engine = aRanked.engine;
+    this->triedEngine = true;
     this->times = { this->context.clock.Now(), {}, 0 };
     this->context.inFlight.Add(engine.target, this->times.begunAt);
     this->context.knowledge.prefixes.Expect(engine.target, aRanked.pieces, this->times.begunAt);
-    const AttemptEnd end =
-      this->RunAttempt(engine.target.Text(),
-                       this->context.engines.Generate(engine.address, this->MakeAttempt(engine)));
+    const AttemptEnd end = this->RunAttempt(engine.target.Text(), this->OpenStream(engine));
     this->context.inFlight.Remove(engine.target, this->context.clock.Now());
     if (end != AttemptEnd::kFailed || this->times.tokens > 0) {
       this->TeachWait(aRanked);
@@ -201,13 +240,25 @@
     if (end == AttemptEnd::kFinished) {
       this->TeachCapacity(aRanked);
     } else if (end == AttemptEnd::kFailed) {
-      this->failedEngines.insert(engine.target);
+      this->failedAt[engine.target] = this->context.clock.Now();
+      this->context.knowledge.capacity.AddFailure(engine.target, this->context.clock.Now());
     } else {
       this->CancelAt(engine);
     }
     return end;
   }
 
+  // The attempt is counted in before the mark is looked at, so no work slips past a drain.
+  absl::StatusOr<std::unique_ptr<targets::TokenStream>> OpenStream(
+    const control::EngineView& aEngine)
+  {
+    const targets::GenerateRequest attempt = this->MakeAttempt(aEngine);
+    if (!this->context.drainMarks.MayBegin(aEngine.target)) {
+      return core::MakeError(targets::errors::kRefused, aEngine.target.Text() + " is draining");
+    }
+    return this->context.engines.Generate(aEngine.address, attempt);
+  }
+
   AttemptEnd TryPeer(const control::EntryView& aPeer)
   {
     SpilledCompletion spilled;
@@ -374,7 +425,9 @@
   absl::Status Cause() const
   {
     const bool neverTried = this->assembly.Attempt().Number() == 0;
-    if (neverTried || core::IsError(this->failure, errors::kDeadlinePassed)) {
+    const bool notAdmitted = core::IsError(this->failure, admission::errors::kOverloaded) ||
+                             core::IsError(this->failure, admission::errors::kDeadlineTooNear);
+    if (neverTried || notAdmitted || core::IsError(this->failure, errors::kDeadlinePassed)) {
       return this->failure;
     }
     return core::MakeError(errors::kTargetsFailed, this->failure.message());
@@ -398,11 +451,12 @@
   core::MonotonicTime lastTokenAt;
   core::MonotonicTime deadline;
   bool maySpill;
+  bool triedEngine = false;
   std::string startVersion;
   std::string version;
   core::TokenOffset startOffset;
   AttemptTimes times;
-  std::set<core::TargetId> failedEngines;
+  std::map<core::TargetId, core::MonotonicTime> failedAt;
   std::set<core::InstanceId> failedPeers;
   core::Outcome outcome = core::Outcome::kNotRun;
   absl::Status failure;
@@ -421,6 +475,22 @@
                          body.status().message());
 }
 
+// A request is charged where it comes in, with all tokens that it may take.
+limits::LimitDecision
+AskLimit(RequestContext& aContext, const CompletionRequest& aRequest)
+{
+  const auto view = aContext.board.Current();
+  if (aContext.limits == nullptr || view->configuration == nullptr) {
+    return {};
+  }
+  const config::Configuration& configuration = *view->configuration;
+  const auto own = configuration.limits.find(aRequest.workspace);
+  const config::WorkspaceLimit& limit =
+    own == configuration.limits.end() ? configuration.defaultLimit : own->second;
+  const core::TokenCount tokens(aRequest.maxTokens.Number() - aRequest.resumeOffset.Number());
+  return aContext.limits->Admit(aRequest.workspace, limit, tokens);
+}
+
 } // namespace
 
 RequestEnd
@@ -445,6 +515,12 @@
     const Problem problem{ usable, core::Outcome::kNotRun, aRequest };
     return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
   }
+  const limits::LimitDecision limit = AskLimit(aContext, *request);
+  if (!limit.admitted) {
+    const absl::Status cause = core::MakeError(limits::errors::kLimited, request->workspace.Text());
+    const Problem problem{ cause, core::Outcome::kNotRun, aRequest, limit.RetryAfter() };
+    return RespondProblem(aExchange, problem) ? RequestEnd::kRefused : RequestEnd::kCallerGone;
+  }
   const std::string model = request->deployment.Text();
   const auto sink = request->stream ? MakeEventSink(aExchange, aRequest, model)
                                     : MakeJsonSink(aExchange, aRequest, model);
