--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::uint16_t kMostPort = 65535;
 constexpr unsigned kMostThreads = 4096;
+constexpr int kPortAttempts = 8;
 constexpr std::chrono::milliseconds kPlatformTimeout = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds kEngineTimeout = std::chrono::seconds(2);
 
@@ -37,6 +38,7 @@
   std::uint16_t peerPort = 0;
   apps::Secret peerKey;
   unsigned peerThreads = 64;
+  std::vector<std::string> seeds;
   unsigned threads = 256;
   int lingerMs = 0;
 };
@@ -72,6 +74,13 @@
   aLine
     .Add("peer-threads", aSettings.peerThreads, "Most peers' messages worked on at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
+  aLine
+    .Add("seeds",
+         aSettings.seeds,
+         "Peers' addresses with commas, to start by when the platform cannot be reached",
+         "Network")
+    ->delimiter(',')
+    ->check(&apps::CheckAddress);
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
@@ -83,9 +92,10 @@
 }
 
 peers::PeerHandlers
-MakePeerHandlers(requests::RequestContext& aContext)
+MakePeerHandlers(requests::RequestContext& aContext, const control::FleetStateBoard& aState)
 {
   peers::PeerHandlers handlers;
+  handlers.calls[control::kFleetStateKind] = control::MakeFleetStateHandler(aState);
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
@@ -96,15 +106,54 @@
   return handlers;
 }
 
-absl::StatusOr<std::unique_ptr<peers::PeerServer>>
-ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
+// The peers' server and the control thread share a port number, one by TCP, the other by UDP.
+struct ControlPlane
+{
+  std::unique_ptr<peers::PeerServer> peerServer;
+  std::unique_ptr<control::ControlLoop> loop;
+};
+
+absl::StatusOr<ControlPlane>
+StartControlPlane(const Settings& aSettings,
+                  requests::RequestContext& aContext,
+                  const control::ControlPorts& aPorts)
 {
   peers::PeerServerOptions options;
   options.host = aSettings.host;
   options.port = aSettings.peerPort;
   options.key = aSettings.peerKey.Reveal();
   options.threads = aSettings.peerThreads;
-  return peers::PeerServer::Create(options, std::move(aHandlers));
+  auto peerServer = peers::PeerServer::Create(options, MakePeerHandlers(aContext, aPorts.state));
+  if (!peerServer.ok()) {
+    return peerServer.status();
+  }
+  control::ControlLoopOptions controlOptions;
+  controlOptions.instance = aContext.instance;
+  controlOptions.zone = aContext.zone;
+  controlOptions.peerAddress = (*peerServer)->ListeningAddress();
+  controlOptions.peerKey = aSettings.peerKey.Reveal();
+  for (const std::string& seed : aSettings.seeds) {
+    controlOptions.seeds.push_back(*net::Address::Parse(seed));
+  }
+  auto loop = control::ControlLoop::Start(controlOptions, aPorts, aContext.board);
+  if (!loop.ok()) {
+    return loop.status();
+  }
+  return ControlPlane{ *std::move(peerServer), *std::move(loop) };
+}
+
+// A port that the system picked for TCP may be taken for UDP, so another one is tried.
+absl::StatusOr<ControlPlane>
+StartControlPlaneOnFreePort(const Settings& aSettings,
+                            requests::RequestContext& aContext,
+                            const control::ControlPorts& aPorts)
+{
+  auto started = StartControlPlane(aSettings, aContext, aPorts);
+  for (int attempt = 1; attempt < kPortAttempts && !started.ok() && aSettings.peerPort == 0;
+       ++attempt) {
+    started = StartControlPlane(aSettings, aContext, aPorts);
+  }
+  return started;
 }
 
 int
@@ -141,15 +190,14 @@
                                     .inFlight = {},
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
-  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context));
-  if (!peerServer.ok()) {
-    std::cerr << peerServer.status().message() << "\n";
+  control::FleetStateBoard state;
+  const control::ControlPorts ports{ *store,      *list, *engines,          clock,
+                                     *peerClient, state, &context.knowledge };
+  const auto plane = StartControlPlaneOnFreePort(aSettings, context, ports);
+  if (!plane.ok()) {
+    std::cerr << plane.status().message() << "\n";
     return apps::kExitFailed;
   }
-  control::ControlLoopOptions controlOptions;
-  controlOptions.zone = context.zone;
-  const auto loop = control::ControlLoop::Start(
-    controlOptions, { *store, *list, *engines, clock, &context.knowledge }, board);
   net::HttpServerOptions serverOptions;
   serverOptions.host = aSettings.host;
   serverOptions.port = aSettings.port;
@@ -163,7 +211,7 @@
   core::Log(core::LogLevel::kInfo,
             "listening",
             { { "address", (*server)->ListeningAddress().Text() },
-              { "peer_address", (*peerServer)->ListeningAddress().Text() } });
+              { "peer_address", plane->peerServer->ListeningAddress().Text() } });
 
   apps::WaitForStopSignal();
   core::Log(
@@ -173,8 +221,8 @@
   claimBook->Flush();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
-  (*peerServer)->Stop();
-  loop->Stop();
+  plane->peerServer->Stop();
+  plane->loop->Stop();
   core::Log(core::LogLevel::kInfo, "stopped");
   return apps::kExitDone;
 }
--- a/include/plantainslip/control/control_loop.hpp
+++ b/include/plantainslip/control/control_loop.hpp
@@ -2,11 +2,17 @@
 
 #include <chrono>
 #include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
 
 #include <plantainslip/control/engine_observer.hpp>
+#include <plantainslip/control/fleet_state.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
+#include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/instance_list.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/targets/engine.hpp>
@@ -16,7 +22,15 @@
 /// @brief Settings of the control loop.
 struct ControlLoopOptions
 {
+  core::InstanceId instance;
   core::ZoneId zone;
+  /// @brief Where this instance listens for its peers; membership takes the UDP port of the same
+  ///        number.
+  net::Address peerAddress;
+  /// @brief The peers' key; without it the instance keeps to itself and watches the store.
+  std::string peerKey;
+  /// @brief Peers to ask at the start, for when the platform cannot be reached.
+  std::vector<net::Address> seeds;
   /// @brief Time between two readings of the platform's list.
   std::chrono::milliseconds listInterval = std::chrono::seconds(1);
   /// @brief Time between two reports of one engine.
@@ -25,6 +39,8 @@
   std::chrono::milliseconds watchTimeout = std::chrono::seconds(5);
   /// @brief Time before the next call after the store failed.
   std::chrono::milliseconds storeBackOff = std::chrono::milliseconds(500);
+  /// @brief Longest wait for a peer's answer.
+  std::chrono::milliseconds peerTimeout = std::chrono::seconds(1);
 };
 
 /// @brief Ports that the control loop works through; all have to outlive it.
@@ -34,6 +50,9 @@
   platform::InstanceList& list;
   targets::EngineClient& engines;
   const core::Clock& clock;
+  peers::PeerClient& peers;
+  /// @brief Gets what peers may ask for.
+  FleetStateBoard& state;
   /// @brief Learns from the zone's engines on the control thread; may be null.
   EngineObserver* observer = nullptr;
 };
@@ -48,10 +67,10 @@
   /// @param aOptions  settings
   /// @param aPorts  ports to the platform and the targets
   /// @param aBoard  gets every new view; has to outlive the loop
-  /// @return the running loop
-  static std::unique_ptr<ControlLoop> Start(ControlLoopOptions aOptions,
-                                            ControlPorts aPorts,
-                                            ViewBoard& aBoard);
+  /// @return the running loop, or error 952 (membership.cannot_listen)
+  static absl::StatusOr<std::unique_ptr<ControlLoop>> Start(ControlLoopOptions aOptions,
+                                                            ControlPorts aPorts,
+                                                            ViewBoard& aBoard);
 
   /// @brief Stops the threads; waits for calls that are under way.
   virtual void Stop() = 0;
--- a/include/plantainslip/control/fleet_view.hpp
+++ b/include/plantainslip/control/fleet_view.hpp
@@ -46,6 +46,8 @@
   /// @brief Where the instance listens for its peers; port 0 if that is not known.
   net::Address peerAddress;
   bool leaving = false;
+  /// @brief False once the instance's own zone holds it for dead.
+  bool alive = true;
 };
 
 /// @brief Everything that traffic threads decide by. Immutable once it is published.
--- a/include/plantainslip/control/view_builder.hpp
+++ b/include/plantainslip/control/view_builder.hpp
@@ -2,9 +2,12 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 #include <plantainslip/control/fleet_view.hpp>
+#include <plantainslip/membership/membership.hpp>
 #include <plantainslip/platform/instance_list.hpp>
 
 namespace plantainslip::control {
@@ -21,6 +24,11 @@
   /// @brief Takes a new reading of the platform's list.
   void AdoptList(std::vector<platform::ListedInstance> aList);
 
+  /// @brief Takes what membership knows: who is dead, who is there but not listed yet, and which
+  ///        targets and instances must get no new work.
+  void AdoptMembership(std::vector<membership::MemberRecord> aMembers,
+                       const std::vector<membership::LeavingMark>& aMarks);
+
   /// @brief Takes an engine's report.
   void AdoptReport(const core::TargetId& aTarget,
                    targets::EngineReport aReport,
@@ -36,6 +44,10 @@
   std::shared_ptr<const FleetView> Build() const;
 
 private:
+  void AddEntries(FleetView& aView) const;
+  bool IsLeaving(const platform::ListedInstance& aListed) const;
+  EngineView MakeEngine(const platform::ListedInstance& aListed) const;
+
   struct TimedReport
   {
     targets::EngineReport report;
@@ -45,6 +57,8 @@
   std::shared_ptr<const config::Configuration> configuration;
   std::vector<platform::ListedInstance> list;
   std::map<core::TargetId, TimedReport> reports;
+  std::vector<membership::MemberRecord> members;
+  std::set<std::string> leaving;
 };
 
 } // namespace plantainslip::control
--- a/src/claims/bucket_owner.cpp
+++ b/src/claims/bucket_owner.cpp
@@ -24,8 +24,8 @@
   std::optional<net::Address> owner;
   std::uint64_t highest = WeightOf(aBucket, aSelf);
   for (const control::EntryView& entry : aEntries) {
-    const bool usable = entry.instance != aSelf && !entry.leaving && entry.peerAddress.port != 0;
-    if (!usable) {
+    const bool reachable = entry.alive && !entry.leaving && entry.peerAddress.port != 0;
+    if (!reachable || entry.instance == aSelf) {
       continue;
     }
     const std::uint64_t weight = WeightOf(aBucket, entry.instance);
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -9,16 +9,35 @@
 #include <boost/asio/thread_pool.hpp>
 
 #include <plantainslip/config/record.hpp>
+#include <plantainslip/control/store_reading.hpp>
 #include <plantainslip/control/view_builder.hpp>
 #include <plantainslip/core/log.hpp>
 
+#include "gossip_port.hpp"
+
 namespace plantainslip::control {
 
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kCallThreads = 4;
+constexpr std::size_t kCallThreads = 8;
+constexpr std::chrono::milliseconds kRoleCheckInterval(500);
+constexpr std::chrono::milliseconds kCatchUpInterval(500);
+constexpr std::size_t kPeersAskedAtOnce = 3;
+
+membership::MembershipOptions
+MakeMembershipOptions(const ControlLoopOptions& aOptions, const core::Clock& aClock)
+{
+  const auto started =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aClock.WallNow().time_since_epoch());
+  membership::MembershipOptions options;
+  options.self.instance = aOptions.instance;
+  options.self.zone = aOptions.zone;
+  options.self.address = aOptions.peerAddress;
+  options.self.incarnation = membership::Incarnation(static_cast<std::uint64_t>(started.count()));
+  return options;
+}
 
 class AsioControlLoop final : public ControlLoop
 {
@@ -32,11 +51,27 @@
     , listTimer(context)
     , reportTimer(context)
     , watchTimer(context)
+    , catchUpTimer(context)
+    , random(core::MakeSeed())
+    , gossip(context, MakeMembershipOptions(options, aPorts.clock), options.peerKey, aPorts.clock)
   {
+  }
+
+  absl::Status Run()
+  {
+    if (this->HasPeers()) {
+      if (absl::Status opened = this->gossip.Open(); !opened.ok()) {
+        return opened;
+      }
+      asio::post(this->context, [this] { this->StartGossip(); });
+    } else {
+      core::Log(core::LogLevel::kWarning, "no key for peers, so there are none");
+    }
     asio::post(this->context, [this] { this->ReadList(); });
-    asio::post(this->context, [this] { this->WatchConfiguration(); });
+    asio::post(this->context, [this] { this->FollowConfiguration(); });
     asio::post(this->context, [this] { this->ReadReports(); });
     this->thread = std::thread([this] { this->context.run(); });
+    return absl::OkStatus();
   }
 
   ~AsioControlLoop() override { this->AsioControlLoop::Stop(); }
@@ -47,7 +82,12 @@
       return;
     }
     this->stopping = true;
-    this->context.stop();
+    asio::post(this->context, [this] {
+      if (this->HasPeers()) {
+        this->gossip.Send(this->gossip.State().Leave());
+      }
+      this->context.stop();
+    });
     this->thread.join();
     this->calls.join();
   }
@@ -78,19 +118,132 @@
     });
   }
 
+  bool HasPeers() const { return !this->options.peerKey.empty(); }
+
+  void StartGossip()
+  {
+    GossipPort::Events events;
+    events.onChange = [this] { this->Publish(); };
+    events.onNewerConfiguration = [this](const net::Address& aPeer, core::ConfigVersion) {
+      this->AskPeer(aPeer);
+    };
+    this->gossip.Start(std::move(events));
+    for (const net::Address& seed : this->options.seeds) {
+      this->gossip.Send({ this->gossip.State().Greet(seed) });
+    }
+    this->CatchUp();
+  }
+
+  // Until this instance knows the configuration and the list, it asks whoever may know them, so
+  // that it can start without the platform.
+  void CatchUp()
+  {
+    const bool knowsAll = this->builder.Version() != core::ConfigVersion() && this->listKnown;
+    if (knowsAll) {
+      return;
+    }
+    std::vector<net::Address> candidates = this->options.seeds;
+    for (const membership::MemberRecord& member : this->gossip.State().Members()) {
+      candidates.push_back(member.address);
+    }
+    for (std::size_t asked = 0; asked < kPeersAskedAtOnce && !candidates.empty(); ++asked) {
+      std::swap(candidates[this->random.Below(candidates.size())], candidates.back());
+      this->AskPeer(candidates.back());
+      candidates.pop_back();
+    }
+    this->After(this->catchUpTimer, kCatchUpInterval, [this] { this->CatchUp(); });
+  }
+
+  void AskPeer(const net::Address& aPeer)
+  {
+    if (this->peersAsked >= kPeersAskedAtOnce) {
+      return;
+    }
+    ++this->peersAsked;
+    this->CallThen(
+      [this, aPeer, known = this->builder.Version()] {
+        return this->ports.peers.Call(
+          aPeer, kFleetStateKind, FormatFleetStateRequest(known), this->options.peerTimeout);
+      },
+      [this, aPeer](absl::StatusOr<std::string> aAnswer) {
+        --this->peersAsked;
+        const auto state =
+          aAnswer.ok() ? ParseFleetState(*aAnswer) : absl::StatusOr<FleetState>(aAnswer.status());
+        if (state.ok()) {
+          this->AdoptState(*state);
+          this->gossip.Send({ this->gossip.State().Greet(aPeer) });
+        }
+      });
+  }
+
+  void AdoptState(const FleetState& aState)
+  {
+    this->gossip.State().AdoptMarks(aState.marks);
+    // The platform's own word goes before what a peer read earlier.
+    if (!this->listKnown && !aState.list.empty()) {
+      this->AdoptList(aState.list);
+    }
+    if (!aState.record.value.empty()) {
+      this->AdoptRecord(aState.record);
+    }
+  }
+
+  void AdoptList(std::vector<platform::ListedInstance> aList)
+  {
+    this->listKnown = true;
+    if (this->HasPeers()) {
+      this->gossip.State().AdoptList(aList, this->ports.clock.Now());
+    }
+    this->list = aList;
+    this->builder.AdoptList(std::move(aList));
+    this->Publish();
+  }
+
   void ReadList()
   {
     this->CallThen([this] { return this->ports.list.Read(); },
                    [this](absl::StatusOr<std::vector<platform::ListedInstance>> aList) {
                      if (aList.ok()) {
-                       this->builder.AdoptList(*std::move(aList));
-                       this->Publish();
+                       this->AdoptList(*std::move(aList));
                      }
                      this->After(
                        this->listTimer, this->options.listInterval, [this] { this->ReadList(); });
                    });
   }
 
+  // A few instances of each zone watch the store; the others hear from them, and poll seldom.
+  void FollowConfiguration()
+  {
+    const std::vector<core::InstanceId> live = this->gossip.State().LiveInZone();
+    if (!this->HasPeers() || ShouldWatch(live, this->options.instance)) {
+      this->WatchConfiguration();
+      return;
+    }
+    const core::MonotonicTime now = this->ports.clock.Now();
+    if (this->nextPoll == core::MonotonicTime()) {
+      this->nextPoll = now + NextPollDelay(live.size(), this->random);
+    } else if (now >= this->nextPoll) {
+      this->nextPoll = core::MonotonicTime();
+      this->PollConfiguration();
+      return;
+    }
+    this->FollowLater(kRoleCheckInterval);
+  }
+
+  void FollowLater(std::chrono::milliseconds aDelay)
+  {
+    this->After(this->watchTimer, aDelay, [this] { this->FollowConfiguration(); });
+  }
+
+  void PollConfiguration()
+  {
+    this->CallThen([this] { return this->ports.store.Get(config::kConfigurationKey); },
+                   [this](absl::StatusOr<std::optional<platform::StoredValue>> aValue) {
+                     this->TakeStored(aValue);
+                     this->FollowLater(kRoleCheckInterval);
+                   });
+  }
+
   void WatchConfiguration()
   {
     const core::Revision after = this->configurationRevision;
@@ -100,26 +253,29 @@
           config::kConfigurationKey, after, this->options.watchTimeout);
       },
       [this](absl::StatusOr<std::optional<platform::StoredValue>> aValue) {
-        const bool failed = !aValue.ok();
-        if (!failed && aValue->has_value()) {
-          this->AdoptRecord(**aValue);
-        }
-        const auto pause = failed ? this->options.storeBackOff : std::chrono::milliseconds(0);
-        this->After(this->watchTimer, pause, [this] { this->WatchConfiguration(); });
+        this->TakeStored(aValue);
+        this->FollowLater(aValue.ok() ? std::chrono::milliseconds(0) : this->options.storeBackOff);
       });
   }
 
+  void TakeStored(const absl::StatusOr<std::optional<platform::StoredValue>>& aValue)
+  {
+    if (aValue.ok() && aValue->has_value()) {
+      this->AdoptRecord(**aValue);
+    }
+  }
+
   void AdoptRecord(const platform::StoredValue& aStored)
   {
     this->configurationRevision = std::max(this->configurationRevision, aStored.revision);
-    const auto record = config::ParseRecord(aStored.value);
-    if (!record.ok()) {
+    const auto parsedRecord = config::ParseRecord(aStored.value);
+    if (!parsedRecord.ok()) {
       core::Log(core::LogLevel::kError,
                 "configuration record cannot be read",
-                { { "problem", std::string(record.status().message()) } });
+                { { "problem", std::string(parsedRecord.status().message()) } });
       return;
     }
-    auto parsed = config::ParseConfiguration(record->version, record->document);
+    auto parsed = config::ParseConfiguration(parsedRecord->version, parsedRecord->document);
     if (!parsed.ok()) {
       core::Log(core::LogLevel::kError,
                 "configuration cannot be read",
@@ -130,7 +286,11 @@
           std::make_shared<const config::Configuration>(*std::move(parsed)))) {
       core::Log(core::LogLevel::kInfo,
                 "configuration in force",
-                { { "version", std::to_string(record->version.Number()) } });
+                { { "version", std::to_string(parsedRecord->version.Number()) } });
+      this->record = aStored;
+      if (this->HasPeers()) {
+        this->gossip.AnnounceConfiguration(parsedRecord->version);
+      }
       this->Publish();
     }
   }
@@ -190,13 +350,28 @@
       });
   }
 
-  void Publish() { this->board.Publish(this->builder.Build()); }
+  void Publish()
+  {
+    auto state = std::make_shared<FleetState>();
+    state->marks = this->gossip.State().Marks().All();
+    this->builder.AdoptMembership(this->gossip.State().Members(), state->marks);
+    this->board.Publish(this->builder.Build());
+    state->version = this->builder.Version();
+    state->record = this->record;
+    state->list = this->list;
+    this->ports.state.Publish(std::move(state));
+  }
 
   ControlLoopOptions options;
   ControlPorts ports;
   ViewBoard& board;
   ViewBuilder builder;
   core::Revision configurationRevision;
+  platform::StoredValue record;
+  std::vector<platform::ListedInstance> list;
+  bool listKnown = false;
+  std::size_t peersAsked = 0;
+  core::MonotonicTime nextPoll;
   std::atomic<bool> stopping = false;
   asio::io_context context;
   asio::thread_pool calls;
@@ -204,15 +379,22 @@
   asio::steady_timer listTimer;
   asio::steady_timer reportTimer;
   asio::steady_timer watchTimer;
+  asio::steady_timer catchUpTimer;
+  core::RandomSource random;
+  GossipPort gossip;
   std::thread thread;
 };
 
 } // namespace
 
-std::unique_ptr<ControlLoop>
+absl::StatusOr<std::unique_ptr<ControlLoop>>
 ControlLoop::Start(ControlLoopOptions aOptions, ControlPorts aPorts, ViewBoard& aBoard)
 {
-  return std::make_unique<AsioControlLoop>(std::move(aOptions), aPorts, aBoard);
+  auto loop = std::make_unique<AsioControlLoop>(std::move(aOptions), aPorts, aBoard);
+  if (absl::Status running = loop->Run(); !running.ok()) {
+    return running;
+  }
+  return loop;
 }
 
 } // namespace plantainslip::control
--- a/src/control/view_builder.cpp
+++ b/src/control/view_builder.cpp
@@ -40,44 +40,94 @@
   return this->configuration == nullptr ? core::ConfigVersion() : this->configuration->version;
 }
 
+void
+ViewBuilder::AdoptMembership(std::vector<membership::MemberRecord> aMembers,
+                             const std::vector<membership::LeavingMark>& aMarks)
+{
+  this->members = std::move(aMembers);
+  this->leaving.clear();
+  for (const membership::LeavingMark& mark : aMarks) {
+    if (mark.leaving) {
+      this->leaving.insert(mark.name);
+    }
+  }
+}
+
+bool
+ViewBuilder::IsLeaving(const platform::ListedInstance& aListed) const
+{
+  return aListed.leaving || this->leaving.contains(aListed.name);
+}
+
+// An instance so new that the list lacks it counts as well.
+void
+ViewBuilder::AddEntries(FleetView& aView) const
+{
+  std::map<core::InstanceId, EntryView> entries;
+  for (const membership::MemberRecord& member : this->members) {
+    EntryView& entry = entries[member.instance];
+    entry.instance = member.instance;
+    entry.zone = member.zone;
+    entry.peerAddress = member.address;
+    entry.leaving = this->leaving.contains(member.instance.Text());
+    entry.alive = member.state != membership::MemberState::kDead;
+  }
+  for (const platform::ListedInstance& listed : this->list) {
+    if (listed.kind != platform::ListedKind::kEntry) {
+      continue;
+    }
+    EntryView& entry = entries[core::InstanceId(listed.name)];
+    entry.instance = core::InstanceId(listed.name);
+    entry.zone = listed.zone;
+    entry.address = listed.address;
+    entry.leaving = this->IsLeaving(listed);
+    // What a member says of its own address is newer than the list.
+    if (entry.peerAddress.port == 0) {
+      entry.peerAddress = listed.peerAddress;
+    }
+  }
+  for (auto& [instance, entry] : entries) {
+    aView.entries.push_back(std::move(entry));
+  }
+}
+
+EngineView
+ViewBuilder::MakeEngine(const platform::ListedInstance& aListed) const
+{
+  EngineView engine;
+  engine.target = core::TargetId(aListed.name);
+  engine.zone = aListed.zone;
+  engine.address = aListed.address;
+  engine.leaving = this->IsLeaving(aListed);
+  if (const auto found = this->reports.find(engine.target); found != this->reports.end()) {
+    engine.report = found->second.report;
+    engine.reportedAt = found->second.reportedAt;
+  }
+  if (this->configuration != nullptr) {
+    const auto rule = this->configuration->targets.find(engine.target);
+    if (rule != this->configuration->targets.end()) {
+      engine.deployment = rule->second.deployment;
+    }
+  }
+  return engine;
+}
+
 std::shared_ptr<const FleetView>
 ViewBuilder::Build() const
 {
   auto view = std::make_shared<FleetView>();
   view->configuration = this->configuration;
+  this->AddEntries(*view);
   for (const platform::ListedInstance& listed : this->list) {
-    if (listed.kind == platform::ListedKind::kEntry) {
-      EntryView entry;
-      entry.instance = core::InstanceId(listed.name);
-      entry.zone = listed.zone;
-      entry.address = listed.address;
-      entry.peerAddress = listed.peerAddress;
-      entry.leaving = listed.leaving;
-      view->entries.push_back(std::move(entry));
-      continue;
-    }
-    const core::TargetId target(listed.name);
     if (listed.kind == platform::ListedKind::kService) {
-      view->services.push_back(
-        { target, listed.zone, listed.address, listed.service, listed.leaving });
-      continue;
-    }
-    EngineView engine;
-    engine.target = target;
-    engine.zone = listed.zone;
-    engine.address = listed.address;
-    engine.leaving = listed.leaving;
-    if (const auto found = this->reports.find(target); found != this->reports.end()) {
-      engine.report = found->second.report;
-      engine.reportedAt = found->second.reportedAt;
-    }
-    if (this->configuration != nullptr) {
-      const auto rule = this->configuration->targets.find(target);
-      if (rule != this->configuration->targets.end()) {
-        engine.deployment = rule->second.deployment;
-      }
+      view->services.push_back({ core::TargetId(listed.name),
+                                 listed.zone,
+                                 listed.address,
+                                 listed.service,
+                                 this->IsLeaving(listed) });
+    } else if (listed.kind == platform::ListedKind::kEngine) {
+      view->engines.push_back(this->MakeEngine(listed));
     }
-    view->engines.push_back(std::move(engine));
   }
   return view;
 }
--- a/src/requests/operator_calls.cpp
+++ b/src/requests/operator_calls.cpp
@@ -140,7 +140,8 @@
     answer["instances"].push_back({ { "name", entry.instance.Text() },
                                     { "zone", entry.zone.Text() },
                                     { "address", entry.address.Text() },
-                                    { "leaving", entry.leaving } });
+                                    { "leaving", entry.leaving },
+                                    { "alive", entry.alive } });
   }
   aExchange.Respond(kOk, "application/json", answer.dump());
 }
--- a/src/routing/choose_peer.cpp
+++ b/src/routing/choose_peer.cpp
@@ -19,7 +19,7 @@
   }
   std::vector<const control::EntryView*> candidates;
   for (const control::EntryView& entry : aView.entries) {
-    const bool reachable = entry.peerAddress.port != 0 && !entry.leaving;
+    const bool reachable = entry.peerAddress.port != 0 && !entry.leaving && entry.alive;
     if (reachable && zones.contains(entry.zone) && !aExcluded.contains(entry.instance)) {
       candidates.push_back(&entry);
     }
