--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,5 +1,6 @@
 // Entry instance: the flags, the wiring and the order of starting and stopping. No decisions.
 
+#include <atomic>
 #include <iostream>
 
 #include <plantainslip/claims/bucket_owner.hpp>
@@ -35,6 +36,7 @@
   std::uint16_t port = 0;
   std::string platform;
   apps::Secret operatorKey;
+  apps::Secret resumeKey;
   std::uint16_t peerPort = 0;
   apps::Secret peerKey;
   unsigned peerThreads = 64;
@@ -63,6 +65,10 @@
                   aSettings.operatorKey,
                   "Key that operators prove themselves with; without it all are refused",
                   "Security");
+  aLine.AddSecret("resume-key",
+                  aSettings.resumeKey,
+                  "Key of all instances that signs resume tokens; empty issues none",
+                  "Security");
   aLine
     .Add(
       "peer-port", aSettings.peerPort, "Port to listen on for peers; 0 takes a free one", "Network")
@@ -91,11 +97,22 @@
     ->check(CLI::Range(0, 600'000));
 }
 
+// The peers' server needs the control loop and the loop needs the server's port, so messages that
+// come before the loop are refused.
+using LoopSlot = std::atomic<control::ControlLoop*>;
+
 peers::PeerHandlers
-MakePeerHandlers(requests::RequestContext& aContext, const control::FleetStateBoard& aState)
+MakePeerHandlers(requests::RequestContext& aContext,
+                 const control::FleetStateBoard& aState,
+                 const LoopSlot& aSlot)
 {
   peers::PeerHandlers handlers;
   handlers.calls[control::kFleetStateKind] = control::MakeFleetStateHandler(aState);
+  handlers.calls[control::kLoadRecordsKind] =
+    [&aSlot](const std::string& aBody) -> absl::StatusOr<std::string> {
+    control::ControlLoop* loop = aSlot.load();
+    return loop == nullptr ? absl::UnavailableError("starting") : loop->HandleLoadRecords(aBody);
+  };
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
   };
@@ -109,49 +126,54 @@
 // The peers' server and the control thread share a port number, one by TCP, the other by UDP.
 struct ControlPlane
 {
-  std::unique_ptr<peers::PeerServer> peerServer;
   std::unique_ptr<control::ControlLoop> loop;
+  std::unique_ptr<peers::PeerServer> peerServer;
+};
+
+struct ControlParts
+{
+  requests::RequestContext& context;
+  const control::ControlPorts& ports;
+  LoopSlot& slot;
 };
 
 absl::StatusOr<ControlPlane>
-StartControlPlane(const Settings& aSettings,
-                  requests::RequestContext& aContext,
-                  const control::ControlPorts& aPorts)
+StartControlPlane(const Settings& aSettings, const ControlParts& aParts)
 {
   peers::PeerServerOptions options;
   options.host = aSettings.host;
   options.port = aSettings.peerPort;
   options.key = aSettings.peerKey.Reveal();
   options.threads = aSettings.peerThreads;
-  auto peerServer = peers::PeerServer::Create(options, MakePeerHandlers(aContext, aPorts.state));
+  auto peerServer = peers::PeerServer::Create(
+    options, MakePeerHandlers(aParts.context, aParts.ports.state, aParts.slot));
   if (!peerServer.ok()) {
     return peerServer.status();
   }
   control::ControlLoopOptions controlOptions;
-  controlOptions.instance = aContext.instance;
-  controlOptions.zone = aContext.zone;
+  controlOptions.self = aParts.context.instance;
+  controlOptions.zone = aParts.context.zone;
   controlOptions.peerAddress = (*peerServer)->ListeningAddress();
   controlOptions.peerKey = aSettings.peerKey.Reveal();
   for (const std::string& seed : aSettings.seeds) {
     controlOptions.seeds.push_back(*net::Address::Parse(seed));
   }
-  auto loop = control::ControlLoop::Start(controlOptions, aPorts, aContext.board);
+  auto loop = control::ControlLoop::Start(controlOptions, aParts.ports, aParts.context.board);
   if (!loop.ok()) {
     return loop.status();
   }
-  return ControlPlane{ *std::move(peerServer), *std::move(loop) };
+  aParts.slot = loop->get();
+  return ControlPlane{ *std::move(loop), *std::move(peerServer) };
 }
 
 // A port that the system picked for TCP may be taken for UDP, so another one is tried.
 absl::StatusOr<ControlPlane>
-StartControlPlaneOnFreePort(const Settings& aSettings,
-                            requests::RequestContext& aContext,
-                            const control::ControlPorts& aPorts)
+StartControlPlaneOnFreePort(const Settings& aSettings, const ControlParts& aParts)
 {
-  auto started = StartControlPlane(aSettings, aContext, aPorts);
+  auto started = StartControlPlane(aSettings, aParts);
   for (int attempt = 1; attempt < kPortAttempts && !started.ok() && aSettings.peerPort == 0;
        ++attempt) {
-    started = StartControlPlane(aSettings, aContext, aPorts);
+    started = StartControlPlane(aSettings, aParts);
   }
   return started;
 }
@@ -182,6 +204,7 @@
                                     .claims = *claimBook,
                                     .peers = *peerClient,
                                     .board = board,
+                                    .resume = requests::ResumeSigner(aSettings.resumeKey.Reveal()),
                                     .gate = {},
                                     .ledger = {},
                                     .deployments = {},
@@ -191,9 +214,11 @@
                                     .randomMutex = {},
                                     .random = core::RandomSource(core::MakeSeed()) };
   control::FleetStateBoard state;
-  const control::ControlPorts ports{ *store,      *list, *engines,          clock,
-                                     *peerClient, state, &context.knowledge };
-  const auto plane = StartControlPlaneOnFreePort(aSettings, context, ports);
+  LoopSlot slot = nullptr;
+  const control::ControlPorts ports{ *store,          *list, *engines,
+                                     clock,           state, &context.knowledge,
+                                     peerClient.get() };
+  const auto plane = StartControlPlaneOnFreePort(aSettings, { context, ports, slot });
   if (!plane.ok()) {
     std::cerr << plane.status().message() << "\n";
     return apps::kExitFailed;
--- a/include/plantainslip/control/control_loop.hpp
+++ b/include/plantainslip/control/control_loop.hpp
@@ -22,7 +22,7 @@
 /// @brief Settings of the control loop.
 struct ControlLoopOptions
 {
-  core::InstanceId instance;
+  core::InstanceId self;
   core::ZoneId zone;
   /// @brief Where this instance listens for its peers; membership takes the UDP port of the same
   ///        number.
@@ -33,8 +33,10 @@
   std::vector<net::Address> seeds;
   /// @brief Time between two readings of the platform's list.
   std::chrono::milliseconds listInterval = std::chrono::seconds(1);
-  /// @brief Time between two reports of one engine.
-  std::chrono::milliseconds reportInterval = std::chrono::milliseconds(500);
+  /// @brief Time between two messages that hand engines' reports on to a peer.
+  std::chrono::milliseconds tellInterval = std::chrono::milliseconds(500);
+  /// @brief Time between two readings of one engine's cache events.
+  std::chrono::milliseconds eventInterval = std::chrono::milliseconds(500);
   /// @brief Longest wait of one watch of the configuration.
   std::chrono::milliseconds watchTimeout = std::chrono::seconds(5);
   /// @brief Time before the next call after the store failed.
@@ -50,13 +52,17 @@
   platform::InstanceList& list;
   targets::EngineClient& engines;
   const core::Clock& clock;
-  peers::PeerClient& peers;
   /// @brief Gets what peers may ask for.
   FleetStateBoard& state;
   /// @brief Learns from the zone's engines on the control thread; may be null.
   EngineObserver* observer = nullptr;
+  /// @brief Way to the zone's other instances; null if there is none.
+  peers::PeerClient* peers = nullptr;
 };
 
+/// @brief Kind of the peers' message that hands engines' reports on.
+inline constexpr const char* kLoadRecordsKind = "load_records";
+
 /// @brief The one thread that owns an instance's control state and publishes views of it.
 class ControlLoop
 {
@@ -67,11 +73,16 @@
   /// @param aOptions  settings
   /// @param aPorts  ports to the platform and the targets
   /// @param aBoard  gets every new view; has to outlive the loop
-  /// @return the running loop, or error 952 (membership.cannot_listen)
+  /// @return the running loop, or error 972 (membership.cannot_listen)
   static absl::StatusOr<std::unique_ptr<ControlLoop>> Start(ControlLoopOptions aOptions,
                                                             ControlPorts aPorts,
                                                             ViewBoard& aBoard);
 
+  /// @brief Answers a peer's #kLoadRecordsKind message. Safe from any thread.
+  /// @param aBody  records, as FormatLoadRecords() writes them
+  /// @return an empty answer, or error 951 (control.bad_message)
+  virtual absl::StatusOr<std::string> HandleLoadRecords(const std::string& aBody) = 0;
+
   /// @brief Stops the threads; waits for calls that are under way.
   virtual void Stop() = 0;
 };
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -14,6 +14,7 @@
 #include <plantainslip/peers/peer_client.hpp>
 #include <plantainslip/platform/store.hpp>
 #include <plantainslip/requests/drain_gate.hpp>
+#include <plantainslip/requests/resume_token.hpp>
 #include <plantainslip/retries/retry_policy.hpp>
 #include <plantainslip/routing/engine_knowledge.hpp>
 #include <plantainslip/routing/in_flight.hpp>
@@ -36,6 +37,8 @@
   claims::ClaimBook& claims;
   peers::PeerClient& peers;
   control::ViewBoard& board;
+  /// @brief Signs tokens by which callers go on with cut answers.
+  ResumeSigner resume;
 
   DrainGate gate;
   observe::RequestLedger ledger;
--- a/src/control/gossip_port.hpp
+++ b/src/control/gossip_port.hpp
@@ -33,7 +33,7 @@
              const core::Clock& aClock);
 
   /// @brief Opens the port of this instance's own record.
-  /// @return OK, or error 952 (membership.cannot_listen)
+  /// @return OK, or error 972 (membership.cannot_listen)
   absl::Status Open();
 
   /// @brief Starts to receive and to probe.
