--- /dev/null
+++ b/src/config/queries/read_history.cpp
@@ -0,0 +1,67 @@
+#include <plantainslip/config/queries/read_history.hpp>
+
+#include <map>
+
+#include <plantainslip/config/errors.hpp>
+
+namespace plantainslip::config {
+
+namespace {
+
+constexpr std::size_t kVersionDigits = 12;
+
+absl::Status
+AddEntries(const std::string& aRecord, std::map<core::ConfigVersion, HistoryEntry>& aEntries)
+{
+  auto record = ParseRecord(aRecord);
+  if (!record.ok()) {
+    return record.status();
+  }
+  for (HistoryEntry& entry : record->history) {
+    aEntries.emplace(entry.version, std::move(entry));
+  }
+  return absl::OkStatus();
+}
+
+} // namespace
+
+std::string
+ArchiveKey(core::ConfigVersion aFirst)
+{
+  const std::string number = std::to_string(aFirst.Number());
+  const std::size_t missing = kVersionDigits - std::min(kVersionDigits, number.size());
+  return kArchivePrefix + std::string(missing, '0') + number;
+}
+
+absl::StatusOr<std::vector<HistoryEntry>>
+ReadHistory(platform::Store& aStore)
+{
+  // The newest part is read first: what moves to the archive in between is then seen twice, which
+  // does no harm, and not missed.
+  const auto current = aStore.Get(kConfigurationKey);
+  const auto archived = aStore.List(kArchivePrefix);
+  if (!current.ok() || !archived.ok()) {
+    const absl::Status& cause = current.ok() ? archived.status() : current.status();
+    return core::MakeError(errors::kStoreUnavailable, cause.message());
+  }
+  std::vector<std::string> records;
+  if (current->has_value()) {
+    records.push_back((*current)->value);
+  }
+  for (const platform::KeyedValue& value : *archived) {
+    records.push_back(value.stored.value);
+  }
+  std::map<core::ConfigVersion, HistoryEntry> entries;
+  for (const std::string& record : records) {
+    if (absl::Status added = AddEntries(record, entries); !added.ok()) {
+      return added;
+    }
+  }
+  std::vector<HistoryEntry> history;
+  for (auto& [version, entry] : entries) {
+    history.push_back(std::move(entry));
+  }
+  return history;
+}
+
+} // namespace plantainslip::config
