--- a/src/requests/operator_calls.cpp
+++ b/src/requests/operator_calls.cpp
@@ -4,6 +4,7 @@
 #include <openssl/crypto.h>
 
 #include <plantainslip/config/commands/submit_patch.hpp>
+#include <plantainslip/config/queries/read_history.hpp>
 #include <plantainslip/requests/errors.hpp>
 #include <plantainslip/requests/problem.hpp>
 
@@ -55,6 +56,20 @@
   aExchange.Respond(kOk, "application/json", record);
 }
 
+void
+ShowHistory(RequestContext& aContext, net::HttpExchange& aExchange)
+{
+  auto history = config::ReadHistory(aContext.store);
+  if (!history.ok()) {
+    Refuse(aExchange, history.status());
+    return;
+  }
+  config::ConfigurationRecord all;
+  all.history = *std::move(history);
+  const json answer = { { "history", ToJson(all).at("history") } };
+  aExchange.Respond(kOk, "application/json", answer.dump());
+}
+
 absl::StatusOr<config::PatchSubmission>
 ReadSubmission(net::HttpExchange& aExchange)
 {
@@ -158,6 +173,8 @@
   const std::string call = aExchange.Method() + " " + aExchange.Path();
   if (call == "GET /v1/operator/configuration") {
     ShowConfiguration(aContext, aExchange);
+  } else if (call == "GET /v1/operator/history") {
+    ShowHistory(aContext, aExchange);
   } else if (call == "POST /v1/operator/patches") {
     TakePatch(aContext, aExchange);
   } else if (call == "GET /v1/operator/fleet") {
--- a/tests/src/process-zone-cut.cpp
+++ b/tests/src/process-zone-cut.cpp
@@ -123,6 +123,9 @@
     });
     harness::SmallFleet::AwaitVersion(first, 2);
     harness::SmallFleet::AwaitVersion(second, 2);
+    const auto history = harness::Send(
+      second, "GET", "/v1/operator/history", nullptr, { { "Authorization", kBearer } });
+    CHECK(json::parse(history.body).at("history").size() == 2);
   }
 }
 
