--- a/bench/peers.cpp
+++ b/bench/peers.cpp
@@ -30,6 +30,7 @@
 {
   std::vector<std::vector<double>> latencies(static_cast<std::size_t>(aCallers));
   std::vector<std::thread> callers;
+  callers.reserve(latencies.size());
   const auto begun = Clock::now();
   for (auto& own : latencies) {
     callers.emplace_back([&] {
--- a/src/config/queries/read_history.cpp
+++ b/src/config/queries/read_history.cpp
@@ -45,6 +45,7 @@
     return core::MakeError(errors::kStoreUnavailable, cause.message());
   }
   std::vector<std::string> records;
+  records.reserve(archived->size() + 1);
   if (current->has_value()) {
     records.push_back((*current)->value);
   }
@@ -58,6 +59,7 @@
     }
   }
   std::vector<HistoryEntry> history;
+  history.reserve(entries.size());
   for (auto& [version, entry] : entries) {
     history.push_back(std::move(entry));
   }
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -262,7 +262,7 @@
   void PollConfiguration()
   {
     this->CallThen([this] { return this->ports.store.Get(config::kConfigurationKey); },
-                   [this](absl::StatusOr<std::optional<platform::StoredValue>> aValue) {
+                   [this](const absl::StatusOr<std::optional<platform::StoredValue>>& aValue) {
                      this->TakeStored(aValue);
                      this->FollowLater(kRoleCheckInterval);
                    });
@@ -276,7 +276,7 @@
         return this->ports.store.Watch(
           config::kConfigurationKey, after, this->options.watchTimeout);
       },
-      [this](absl::StatusOr<std::optional<platform::StoredValue>> aValue) {
+      [this](const absl::StatusOr<std::optional<platform::StoredValue>>& aValue) {
         this->TakeStored(aValue);
         this->FollowLater(aValue.ok() ? std::chrono::milliseconds(0) : this->options.storeBackOff);
       });
--- a/tests/src/unit-peers.cpp
+++ b/tests/src/unit-peers.cpp
@@ -53,6 +53,7 @@
     const auto server = Serve(Echo());
     std::atomic<int> wrong = 0;
     std::vector<std::thread> callers;
+    callers.reserve(8);
     for (int caller = 0; caller < 8; ++caller) {
       callers.emplace_back([&, caller] {
         for (int call = 0; call < 50; ++call) {
@@ -88,7 +89,8 @@
   SUBCASE("is refused when its body is over the limit")
   {
     const auto server = Serve(Echo());
-    const std::string body(9'000'000, 'x');
+    std::string body;
+    body.resize(9'000'000, 'x');
     const auto answer = client->Call(server->ListeningAddress(), "echo", body, kTimeout);
     CHECK(core::IsError(answer.status(), peers::errors::kRefused));
   }
@@ -145,6 +147,7 @@
     std::atomic<int> answered = 0;
     std::atomic<int> refused = 0;
     std::vector<std::thread> callers;
+    callers.reserve(kCalls);
     for (int call = 0; call < kCalls; ++call) {
       callers.emplace_back([&] {
         const auto answer = client->Call(server->ListeningAddress(), "wait", "", kTimeout);
