--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,5 +1,6 @@
 // Entry instance: the flags, the wiring and the order of starting and stopping. No decisions.
 
+#include <atomic>
 #include <iostream>
 
 #include <plantainslip/authority/drain_messages.hpp>
@@ -26,6 +27,7 @@
 
 constexpr std::uint16_t kMostPort = 65535;
 constexpr unsigned kMostThreads = 4096;
+constexpr int kPortAttempts = 8;
 constexpr std::chrono::milliseconds kPlatformTimeout = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds kEngineTimeout = std::chrono::seconds(2);
 
@@ -41,6 +43,7 @@
   std::uint16_t peerPort = 0;
   apps::Secret peerKey;
   unsigned peerThreads = 64;
+  std::vector<std::string> seeds;
   unsigned threads = 256;
   int lingerMs = 0;
 };
@@ -80,6 +83,13 @@
   aLine
     .Add("peer-threads", aSettings.peerThreads, "Most peers' messages worked on at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
+  aLine
+    .Add("seeds",
+         aSettings.seeds,
+         "Peers' addresses with commas, to start by when the platform cannot be reached",
+         "Network")
+    ->delimiter(',')
+    ->check(&apps::CheckAddress);
   aLine.Add("threads", aSettings.threads, "Most requests that are open at once", "Traffic")
     ->check(CLI::Range(1U, kMostThreads));
   aLine
@@ -94,12 +104,21 @@
   });
 }
 
+// The peers' server needs the control loop and the loop needs the server's port, so messages that
+// come before the loop are refused.
+using LoopSlot = std::atomic<control::ControlLoop*>;
+
 peers::PeerHandlers
-MakePeerHandlers(requests::RequestContext& aContext, control::ControlLoop& aLoop)
+MakePeerHandlers(requests::RequestContext& aContext,
+                 const control::FleetStateBoard& aState,
+                 const LoopSlot& aSlot)
 {
   peers::PeerHandlers handlers;
-  handlers.calls[control::kLoadRecordsKind] = [&aLoop](const std::string& aBody) {
-    return aLoop.HandleLoadRecords(aBody);
+  handlers.calls[control::kFleetStateKind] = control::MakeFleetStateHandler(aState);
+  handlers.calls[control::kLoadRecordsKind] =
+    [&aSlot](const std::string& aBody) -> absl::StatusOr<std::string> {
+    control::ControlLoop* loop = aSlot.load();
+    return loop == nullptr ? absl::UnavailableError("starting") : loop->HandleLoadRecords(aBody);
   };
   handlers.calls[claims::kCommitMessage] = [&aContext](const std::string& aBody) {
     return aContext.claims.HandleCommit(aBody);
@@ -126,15 +145,59 @@
   return handlers;
 }
 
-absl::StatusOr<std::unique_ptr<peers::PeerServer>>
-ServePeers(const Settings& aSettings, peers::PeerHandlers aHandlers)
+// The peers' server and the control thread share a port number, one by TCP, the other by UDP.
+struct ControlPlane
+{
+  std::unique_ptr<control::ControlLoop> loop;
+  std::unique_ptr<peers::PeerServer> peerServer;
+};
+
+struct ControlParts
+{
+  requests::RequestContext& context;
+  const control::ControlPorts& ports;
+  LoopSlot& slot;
+};
+
+absl::StatusOr<ControlPlane>
+StartControlPlane(const Settings& aSettings, const ControlParts& aParts)
 {
   peers::PeerServerOptions options;
   options.host = aSettings.host;
   options.port = aSettings.peerPort;
   options.key = aSettings.peerKey.Reveal();
   options.threads = aSettings.peerThreads;
-  return peers::PeerServer::Create(options, std::move(aHandlers));
+  auto peerServer = peers::PeerServer::Create(
+    options, MakePeerHandlers(aParts.context, aParts.ports.state, aParts.slot));
+  if (!peerServer.ok()) {
+    return peerServer.status();
+  }
+  control::ControlLoopOptions controlOptions;
+  controlOptions.self = aParts.context.instance;
+  controlOptions.zone = aParts.context.zone;
+  controlOptions.peerAddress = (*peerServer)->ListeningAddress();
+  controlOptions.peerKey = aSettings.peerKey.Reveal();
+  for (const std::string& seed : aSettings.seeds) {
+    controlOptions.seeds.push_back(*net::Address::Parse(seed));
+  }
+  auto loop = control::ControlLoop::Start(controlOptions, aParts.ports, aParts.context.board);
+  if (!loop.ok()) {
+    return loop.status();
+  }
+  aParts.slot = loop->get();
+  return ControlPlane{ *std::move(loop), *std::move(peerServer) };
+}
+
+// A port that the system picked for TCP may be taken for UDP, so another one is tried.
+absl::StatusOr<ControlPlane>
+StartControlPlaneOnFreePort(const Settings& aSettings, const ControlParts& aParts)
+{
+  auto started = StartControlPlane(aSettings, aParts);
+  for (int attempt = 1; attempt < kPortAttempts && !started.ok() && aSettings.peerPort == 0;
+       ++attempt) {
+    started = StartControlPlane(aSettings, aParts);
+  }
+  return started;
 }
 
 int
@@ -175,16 +238,14 @@
   const auto limitGate = limits::MakeLimitGate(
     {}, self, { clock, *peerClient, [&] { return board.Current()->entries; } });
   context.limits = limitGate.get();
-  control::ControlLoopOptions controlOptions;
-  controlOptions.self = context.instance;
-  controlOptions.zone = context.zone;
-  const auto loop = control::ControlLoop::Start(
-    controlOptions,
-    { *store, *list, *engines, clock, &context.knowledge, peerClient.get() },
-    board);
-  const auto peerServer = ServePeers(aSettings, MakePeerHandlers(context, *loop));
-  if (!peerServer.ok()) {
-    std::cerr << peerServer.status().message() << "\n";
+  control::FleetStateBoard state;
+  LoopSlot slot = nullptr;
+  const control::ControlPorts ports{ *store,          *list, *engines,
+                                     clock,           state, &context.knowledge,
+                                     peerClient.get() };
+  const auto plane = StartControlPlaneOnFreePort(aSettings, { context, ports, slot });
+  if (!plane.ok()) {
+    std::cerr << plane.status().message() << "\n";
     return apps::kExitFailed;
   }
   const auto learner = control::DrainMarkLearner::Start(
@@ -202,7 +263,7 @@
   core::Log(core::LogLevel::kInfo,
             "listening",
             { { "address", (*server)->ListeningAddress().Text() },
-              { "peer_address", (*peerServer)->ListeningAddress().Text() } });
+              { "peer_address", plane->peerServer->ListeningAddress().Text() } });
 
   apps::WaitForStopSignal();
   core::Log(
@@ -212,8 +273,8 @@
   claimBook->Flush();
   apps::WaitForStopSignal(aSettings.lingerMs);
   (*server)->Stop();
-  (*peerServer)->Stop();
-  loop->Stop();
+  plane->peerServer->Stop();
+  plane->loop->Stop();
   core::Log(core::LogLevel::kInfo, "stopped");
   return apps::kExitDone;
 }
--- a/include/plantainslip/membership/message.hpp
+++ b/include/plantainslip/membership/message.hpp
@@ -70,7 +70,7 @@
 FormatMessage(const Message& aMessage, const std::string& aKey);
 
 /// @brief Checks and reads a datagram. Linear in its length.
-/// @return the message, or error 951 (membership.bad_datagram)
+/// @return the message, or error 971 (membership.bad_datagram)
 absl::StatusOr<Message>
 ParseMessage(std::string_view aBytes, const std::string& aKey);
 
--- a/src/requests/operator_calls.cpp
+++ b/src/requests/operator_calls.cpp
@@ -4,6 +4,7 @@
 #include <openssl/crypto.h>
 
 #include <plantainslip/config/commands/submit_patch.hpp>
+#include <plantainslip/config/queries/read_history.hpp>
 #include <plantainslip/requests/errors.hpp>
 #include <plantainslip/requests/problem.hpp>
 
@@ -64,6 +65,20 @@
   aExchange.Respond(kOk, "application/json", record);
 }
 
+void
+ShowHistory(RequestContext& aContext, net::HttpExchange& aExchange)
+{
+  auto history = config::ReadHistory(aContext.store);
+  if (!history.ok()) {
+    Refuse(aExchange, history.status());
+    return;
+  }
+  config::ConfigurationRecord all;
+  all.history = *std::move(history);
+  const json answer = { { "history", ToJson(all).at("history") } };
+  aExchange.Respond(kOk, "application/json", answer.dump());
+}
+
 absl::StatusOr<config::PatchSubmission>
 ReadSubmission(net::HttpExchange& aExchange)
 {
@@ -154,7 +169,8 @@
     answer["instances"].push_back({ { "name", entry.instance.Text() },
                                     { "zone", entry.zone.Text() },
                                     { "address", entry.address.Text() },
-                                    { "leaving", entry.leaving } });
+                                    { "leaving", entry.leaving },
+                                    { "alive", entry.alive } });
   }
   aExchange.Respond(kOk, "application/json", Dump(answer));
 }
@@ -192,6 +208,8 @@
   const std::string call = aExchange.Method() + " " + aExchange.Path();
   if (call == "GET /v1/operator/configuration") {
     ShowConfiguration(aContext, aExchange);
+  } else if (call == "GET /v1/operator/history") {
+    ShowHistory(aContext, aExchange);
   } else if (call == "POST /v1/operator/patches") {
     TakePatch(aContext, aExchange);
   } else if (call == "GET /v1/operator/fleet") {
