--- a/src/authority/fuzz/journal_entry.cpp
+++ b/src/authority/fuzz/journal_entry.cpp
@@ -19,6 +19,7 @@
     return 0;
   }
   authority::OrderJournal journal(store, core::ZoneId("zone"));
-  (void)journal.Read(core::TargetId("target"));
+  (void)journal.Load();
+  (void)authority::ReadDrainMarks(store, core::ZoneId("zone"));
   return 0;
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -156,14 +156,10 @@
     const std::string waiting = std::to_string(aOptions.waitingConnections);
     const std::string timeout = std::to_string(aOptions.requestTimeout.count());
     std::vector<const char*> options = {
-      "listening_ports",       ports.c_str(),
-      "num_threads",           threads.c_str(),
-      "connection_queue",      waiting.c_str(),
-      "listen_backlog",        waiting.c_str(),
-      "request_timeout_ms",    timeout.c_str(),
-      "enable_keep_alive",     "yes",
-      "keep_alive_timeout_ms", "5000",
-      "tcp_nodelay",           "1",
+      "listening_ports",       ports.c_str(),   "num_threads",       threads.c_str(),
+      "connection_queue",      waiting.c_str(), "listen_backlog",    waiting.c_str(),
+      "request_timeout_ms",    timeout.c_str(), "enable_keep_alive", "yes",
+      "keep_alive_timeout_ms", "5000",          "tcp_nodelay",       "1",
     };
     if (secure) {
       options.insert(options.end(), { "ssl_certificate", aOptions.certificateFile.c_str() });
