--- a/apps/controller/controller_process.cpp
+++ b/apps/controller/controller_process.cpp
@@ -2,6 +2,7 @@
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/platform/http_platform.hpp>
+#include <plantainslip/roles/demand_roles.hpp>
 
 #include "../common/setting_checks.hpp"
 #include "../common/stop_signal.hpp"
@@ -30,6 +31,40 @@
   return options;
 }
 
+roles::DemandRolesOptions
+ToRoleOptions(const ControllerSettings& aSettings)
+{
+  roles::DemandRolesOptions options;
+  options.planner.capacity = { static_cast<double>(aSettings.prefillTokensPerSecond),
+                               static_cast<double>(aSettings.decodeTokensPerSecond) };
+  options.planner.changeTime = std::chrono::seconds(aSettings.roleChangeSeconds);
+  options.threads = kThreads;
+  return options;
+}
+
+void
+AddPlannerFlags(CommandLine& aLine, ControllerSettings& aSettings)
+{
+  aLine
+    .Add("prefill-capacity",
+         aSettings.prefillTokensPerSecond,
+         "Prompt tokens a second of an engine that only works on prompts",
+         "Roles")
+    ->check(CLI::Range(1, 100'000'000));
+  aLine
+    .Add("decode-capacity",
+         aSettings.decodeTokensPerSecond,
+         "Tokens generated a second by an engine that only generates",
+         "Roles")
+    ->check(CLI::Range(1, 100'000'000));
+  aLine
+    .Add("role-change-seconds",
+         aSettings.roleChangeSeconds,
+         "Time for which a change of role takes an engine away; seconds",
+         "Roles")
+    ->check(CLI::Range(1, 3'600));
+}
+
 } // namespace
 
 void
@@ -65,7 +100,8 @@
          "Most engines of the zone that load from the weight store at once",
          "Control")
     ->check(CLI::Range(1, 1'000));
-  // A lease is renewed on each step, so it has to last over a step that failed and the next.
+  AddPlannerFlags(aLine, aSettings);
+  // A lease is renewed between steps, so it has to last over a step that failed and the next.
   aLine.OnCheck([&aSettings]() -> std::string {
     if (aSettings.leaseMs >= kStepsInLease * aSettings.intervalMs) {
       return {};
@@ -85,8 +121,9 @@
   const auto store = platform::MakeHttpStore(platformAddress, kPlatformTimeout);
   const auto list = platform::MakeHttpInstanceList(platformAddress, kPlatformTimeout);
   const auto peerClient = peers::MakeHttp2PeerClient(aSettings.peerKey.Reveal());
-  authority::Controller controller({ *store, *list, aEngines, *peerClient, aClock, aTimer },
-                                   ToOptions(aSettings));
+  roles::DemandRoles planner(*peerClient, aClock, ToRoleOptions(aSettings));
+  authority::Controller controller(
+    { *store, *list, aEngines, *peerClient, aClock, aTimer, &planner }, ToOptions(aSettings));
   core::Log(core::LogLevel::kInfo, "started");
   do {
     controller.Step();
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -117,6 +117,9 @@
   handlers.calls[authority::kDrainMarkKind] = [&aContext](const std::string& aBody) {
     return authority::AnswerDrainMark(aContext.drainMarks, aBody);
   };
+  handlers.calls[roles::kDemandKind] = [&aContext](const std::string&) {
+    return roles::FormatDigest(aContext.demand.Digest());
+  };
   handlers.calls[authority::kDrainMarksKind] = [&aContext](const std::string&) {
     return authority::AnswerDrainMarks(aContext.drainMarks);
   };
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -18,6 +18,7 @@
 #include <plantainslip/requests/drain_gate.hpp>
 #include <plantainslip/requests/resume_token.hpp>
 #include <plantainslip/retries/retry_policy.hpp>
+#include <plantainslip/roles/demand_counter.hpp>
 #include <plantainslip/routing/engine_knowledge.hpp>
 #include <plantainslip/routing/in_flight.hpp>
 #include <plantainslip/targets/engine.hpp>
@@ -59,6 +60,8 @@
   retries::RetryBudget retryBudget{};
   /// @brief Which targets get no new work, since they are about to be changed.
   authority::DrainMarks drainMarks{ inFlight };
+  /// @brief What the zone's controller plans roles by.
+  roles::DemandCounter demand{};
   /// @brief Limits of workspaces; null admits everything.
   limits::LimitGate* limits = nullptr;
 };
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -90,9 +90,20 @@
   }
 
 private:
+  // Callers may send any name, so only configured ones are counted.
+  void CountDemand()
+  {
+    const auto view = this->context.board.Current();
+    if (view->configuration != nullptr &&
+        view->configuration->deployments.contains(this->request.deployment)) {
+      this->context.demand.CountRequest(this->request.deployment, this->request.prompt.size());
+    }
+  }
+
   RequestEnd RunToEnd()
   {
     this->context.retryBudget.AddRequest();
+    this->CountDemand();
     for (;;) {
       const auto place = this->AwaitPlace();
       if (!place.has_value()) {
@@ -101,6 +112,8 @@
       switch (this->Try(*place)) {
         case AttemptEnd::kFinished:
           this->context.wholeAnswer.Record(this->context.clock.Now() - this->begunAt);
+          this->context.demand.CountAnswer(this->request.deployment,
+                                           core::TokenCount(this->assembly.Offset().Number()));
           return RequestEnd::kAnswered;
         case AttemptEnd::kCallerGone:
           return RequestEnd::kCallerGone;
