--- a/include/plantainslip/control/control_loop.hpp
+++ b/include/plantainslip/control/control_loop.hpp
@@ -80,7 +80,7 @@
 
   /// @brief Answers a peer's #kLoadRecordsKind message. Safe from any thread.
   /// @param aBody  records, as FormatLoadRecords() writes them
-  /// @return an empty answer, or error 951 (control.bad_message)
+  /// @return an empty answer, or error 1101 (control.bad_message)
   virtual absl::StatusOr<std::string> HandleLoadRecords(const std::string& aBody) = 0;
 
   /// @brief Stops the threads; waits for calls that are under way.
--- a/include/plantainslip/requests/context.hpp
+++ b/include/plantainslip/requests/context.hpp
@@ -3,11 +3,13 @@
 #include <mutex>
 
 #include <plantainslip/admission/admission.hpp>
+#include <plantainslip/authority/drain_marks.hpp>
 #include <plantainslip/claims/claim_book.hpp>
 #include <plantainslip/control/fleet_view.hpp>
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/core/random.hpp>
+#include <plantainslip/limits/limit_gate.hpp>
 #include <plantainslip/observe/deployment_metrics.hpp>
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/observe/request_ledger.hpp>
@@ -55,6 +57,10 @@
   routing::RoutingOptions routing{};
   admission::AdmissionOptions admission{};
   retries::RetryBudget retryBudget{};
+  /// @brief Which targets get no new work, since they are about to be changed.
+  authority::DrainMarks drainMarks{ inFlight };
+  /// @brief Limits of workspaces; null admits everything.
+  limits::LimitGate* limits = nullptr;
 };
 
 } // namespace plantainslip::requests
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -141,6 +141,15 @@
   kill(this->pid, aSignal);
 }
 
+void
+ChildProcess::AwaitStopped() const
+{
+  int status = 0;
+  if (waitpid(this->pid, &status, WUNTRACED) != this->pid || !WIFSTOPPED(status)) {
+    throw std::runtime_error("the process ended instead of stopping: " + this->Output());
+  }
+}
+
 int
 ChildProcess::WaitForExit()
 {
@@ -150,6 +159,13 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalExitBase + WTERMSIG(status);
 }
 
+void
+ChildProcess::AwaitOutputEnd() const
+{
+  std::unique_lock lock(this->shared->mutex);
+  this->shared->grown.wait_for(lock, kPatience, [&] { return this->shared->ended; });
+}
+
 std::string
 ChildProcess::Output() const
 {
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -34,13 +34,22 @@
   /// @brief Gives the address for peers that an entry instance printed; port 0 for others.
   net::Address PeerAddress() const;
 
+  /// @brief Gives the process's id, to read what it uses.
+  pid_t Id() const { return this->pid; }
+
   /// @brief Sends a signal.
   void Signal(int aSignal) const;
 
+  /// @brief Waits until the process has been stopped by a signal, such as SIGSTOP.
+  void AwaitStopped() const;
+
   /// @brief Waits for the end of the process.
   /// @return its exit code, or 128 and the signal that ended it
   int WaitForExit();
 
+  /// @brief Waits until all that the process has printed was read. For a process that has ended.
+  void AwaitOutputEnd() const;
+
   /// @brief Gives what the process has printed so far.
   std::string Output() const;
 
