--- a/apps/controller/controller_process.hpp
+++ b/apps/controller/controller_process.hpp
@@ -6,6 +6,7 @@
 #include <plantainslip/authority/controller.hpp>
 
 #include "../common/command_line.hpp"
+#include "../common/secret.hpp"
 
 namespace plantainslip::apps {
 
@@ -20,6 +21,9 @@
   int leaseMs = 5000;
   int takeOverMs = 2500;
   int loadsAtOnce = 1;
+  int prefillTokensPerSecond = 8000;
+  int decodeTokensPerSecond = 1600;
+  int roleChangeSeconds = 10;
 };
 
 /// @brief Adds the controller's flags to a command line.
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -136,6 +136,9 @@
   handlers.calls[authority::kDrainMarkKind] = [&aContext](const std::string& aBody) {
     return authority::AnswerDrainMark(aContext.drainMarks, aBody);
   };
+  handlers.calls[roles::kDemandKind] = [&aContext](const std::string&) {
+    return roles::FormatDigest(aContext.demand.Digest());
+  };
   handlers.calls[authority::kDrainMarksKind] = [&aContext](const std::string&) {
     return authority::AnswerDrainMarks(aContext.drainMarks);
   };
--- a/include/plantainslip/authority/controller.hpp
+++ b/include/plantainslip/authority/controller.hpp
@@ -8,6 +8,7 @@
 #include <plantainslip/authority/drain_coordinator.hpp>
 #include <plantainslip/authority/order_journal.hpp>
 #include <plantainslip/authority/order_sequencer.hpp>
+#include <plantainslip/authority/role_source.hpp>
 #include <plantainslip/authority/zone_lease.hpp>
 #include <plantainslip/config/configuration.hpp>
 #include <plantainslip/peers/peer_client.hpp>
@@ -25,6 +26,8 @@
   peers::PeerClient& peers;
   const core::Clock& clock;
   TermTimer& timer;
+  /// @brief Decides roles that the configuration leaves open; null leaves them as they are.
+  RoleSource* roles = nullptr;
 };
 
 /// @brief Settings of a controller.
@@ -66,9 +69,11 @@
   };
 
   bool BeginStep();
+  void CountContenders();
   void RefreshConfiguration();
   void ReadZone(const std::vector<platform::ListedInstance>& aList);
   void ReadReports();
+  void PlanRoles();
   void StepAll();
   void StepEngine(const core::TargetId& aTarget);
   OrderSituation SituationOf(const core::TargetId& aTarget) const;
@@ -89,9 +94,11 @@
   DrainCoordinator drains;
   std::optional<core::FencingToken> term;
   core::MonotonicTime termBegunAt;
+  std::optional<core::MonotonicTime> contendersCountedAt;
   std::optional<config::Configuration> configuration;
   std::vector<platform::ListedInstance> entries;
   std::map<core::TargetId, EngineState> engines;
+  std::map<core::TargetId, targets::EngineRole> plannedRoles;
 };
 
 } // namespace plantainslip::authority
--- a/include/plantainslip/net/http_server.hpp
+++ b/include/plantainslip/net/http_server.hpp
@@ -45,6 +45,11 @@
   /// @return the body, or error 204 (net.body_too_large) or 205 (net.body_truncated)
   virtual absl::StatusOr<std::string> ReadBody(std::size_t aLimit) = 0;
 
+  /// @brief Tells whether the caller has closed its side of the connection, without sending
+  ///        anything. A caller that closes only its sending side counts as gone too.
+  /// @return false if that cannot be told; one system call, and a search on the first call
+  virtual bool CallerGone() { return false; }
+
   /// @brief Sends a whole answer.
   /// @param aStatus  HTTP status
   /// @param aContentType  media type of the body
@@ -78,8 +83,9 @@
   std::uint16_t port = 0;
   /// @brief Threads, which is the most requests that are worked on at once.
   unsigned threads = 64;
-  /// @brief Connections that wait for a thread.
-  unsigned waitingConnections = 256;
+  /// @brief Connections that wait to be accepted, and as many that wait for a thread. One beyond
+  ///        them is tried again by the caller's kernel after a second.
+  unsigned waitingConnections = 2048;
   /// @brief Longest time for a caller to send its request.
   std::chrono::milliseconds requestTimeout = std::chrono::seconds(10);
   /// @brief PEM file with certificate and key; empty serves without TLS.
--- a/src/authority/controller.cpp
+++ b/src/authority/controller.cpp
@@ -9,6 +9,12 @@
 
 namespace plantainslip::authority {
 
+namespace {
+
+constexpr std::chrono::seconds kCountInterval{ 60 };
+
+} // namespace
+
 Controller::Controller(ControllerPorts aPorts, const ControllerOptions& aOptions)
   : ports(aPorts)
   , options(aOptions)
@@ -22,6 +28,7 @@
 Controller::Step()
 {
   if (!this->BeginStep()) {
+    this->CountContenders();
     return;
   }
   this->RefreshConfiguration();
@@ -34,7 +41,32 @@
   this->lease.Keep();
   // Read after the confirmations: an engine that is idle now gets no new work.
   this->ReadReports();
+  this->lease.Keep();
+  this->PlanRoles();
+  const std::uint64_t writes = this->journal.Writes();
   this->StepAll();
+  if (this->journal.Writes() != writes && this->journal.Load().ok()) {
+    // Marks that were set or lifted in this step are not left to the next.
+    this->drains.Sync(this->entries, this->journal.Marks());
+  }
+}
+
+// Every instance of the zone runs a controller, so entry instances tell how many stand by.
+void
+Controller::CountContenders()
+{
+  const core::MonotonicTime now = this->ports.clock.Now();
+  if (this->contendersCountedAt.has_value() && now < *this->contendersCountedAt + kCountInterval) {
+    return;
+  }
+  this->contendersCountedAt = now;
+  const auto listed = this->ports.list.Read();
+  if (listed.ok()) {
+    const auto count = std::count_if(listed->begin(), listed->end(), [this](const auto& aOne) {
+      return aOne.kind == platform::ListedKind::kEntry && aOne.zone == this->options.lease.zone;
+    });
+    this->lease.SetContenders(static_cast<std::size_t>(count));
+  }
 }
 
 void
@@ -116,6 +148,29 @@
   });
 }
 
+void
+Controller::PlanRoles()
+{
+  this->plannedRoles.clear();
+  if (this->ports.roles == nullptr) {
+    return;
+  }
+  this->ports.roles->Learn(this->entries);
+  std::vector<RoleCandidate> candidates;
+  for (const auto& [target, state] : this->engines) {
+    const auto rule = this->configuration->targets.find(target);
+    const bool open = rule != this->configuration->targets.end() && rule->second.role == "auto";
+    if (open && state.report.has_value() && !state.listed.leaving) {
+      const JournalEntry entry = this->journal.Entry(target);
+      const bool changes =
+        entry.phase != OrderPhase::kSettled && entry.order.kind == targets::OrderKind::kSetRole;
+      const targets::EngineRole role = changes ? entry.order.role : state.report->role;
+      candidates.push_back({ target, rule->second.deployment, role, state.report->running });
+    }
+  }
+  this->plannedRoles = this->ports.roles->Plan(this->configuration->weights, candidates);
+}
+
 void
 Controller::StepAll()
 {
@@ -156,7 +211,12 @@
   situation.report = engine->second.report;
   situation.mayDrain = this->MayDrain(aTarget);
   if (situation.report.has_value() && !engine->second.listed.leaving) {
-    situation.wanted = NextOrder(*this->configuration, aTarget, *situation.report);
+    const auto planned = this->plannedRoles.find(aTarget);
+    situation.wanted = NextOrder(
+      *this->configuration,
+      aTarget,
+      *situation.report,
+      planned == this->plannedRoles.end() ? std::nullopt : std::optional(planned->second));
   }
   return situation;
 }
--- a/src/authority/fuzz/journal_entry.cpp
+++ b/src/authority/fuzz/journal_entry.cpp
@@ -19,6 +19,6 @@
     return 0;
   }
   authority::OrderJournal journal(store, core::ZoneId("zone"));
-  (void)journal.Read(core::TargetId("target"));
+  journal.Load().IgnoreError();
   return 0;
 }
--- a/src/authority/order_journal.cpp
+++ b/src/authority/order_journal.cpp
@@ -175,6 +175,7 @@
 absl::StatusOr<JournalEntry>
 OrderJournal::Write(JournalEntry aEntry)
 {
+  ++this->writes;
   const auto written = this->store.CompareAndSwap(
     this->Prefix() + aEntry.target.Text(), aEntry.revision, FormatEntry(aEntry).dump());
   if (!written.ok()) {
