--- a/include/plantainslip/authority/errors.hpp
+++ b/include/plantainslip/authority/errors.hpp
@@ -2,7 +2,7 @@
 
 #include <plantainslip/core/error.hpp>
 
-/// @brief Errors of the authority layer, numbers 800 to 899.
+/// @brief Errors of the authority layer, numbers 800 to 849.
 namespace plantainslip::authority::errors {
 
 /// @brief Another controller has the zone's lease. Example: a controller that stands by.
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -176,12 +176,13 @@
     return silent;
   }
 
-  // Giving up would cut an answer that the caller has a part of, so a place is waited for.
+  // Giving up would cut an answer that the caller has a part of, so a place is waited for; but not
+  // for a peer, which looks for one by itself.
   std::optional<Placement> AwaitPlace()
   {
     const core::MonotonicTime waitingSince = this->context.clock.Now();
     auto place = this->Place();
-    while (!place.has_value() && this->HasBegun() &&
+    while (!place.has_value() && this->HasBegun() && this->maySpill &&
            retries::MayWaitForPlace(waitingSince, this->deadline, this->context.clock.Now())) {
       std::this_thread::sleep_for(retries::kPlacePollInterval);
       place = this->Place();
