--- a/apps/load/tally.cpp
+++ b/apps/load/tally.cpp
@@ -1,6 +1,7 @@
 #include "tally.hpp"
 
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 #include <nlohmann/json.hpp>
@@ -86,7 +87,7 @@
 RoundToTenths(double aValue)
 {
   constexpr double kTenths = 10.0;
-  return static_cast<double>(static_cast<std::int64_t>(aValue * kTenths + 0.5)) / kTenths;
+  return std::round(aValue * kTenths) / kTenths;
 }
 
 } // namespace
--- a/tests/src/unit-errors-page.cpp
+++ b/tests/src/unit-errors-page.cpp
@@ -38,7 +38,9 @@
       const std::string name = (*found)[2];
       CHECK_MESSAGE(!names.contains(number), number << " is " << names[number] << " and " << name);
       names[number] = name;
-      CHECK_MESSAGE(page.find("| " + number + " | `" + name + "` |") != std::string::npos,
+      std::string line = "| ";
+      line.append(number).append(" | `").append(name).append("` |");
+      CHECK_MESSAGE(page.find(line) != std::string::npos,
                     number << " " << name << " is not on the page");
     }
   }
--- a/tests/src/unit-roles.cpp
+++ b/tests/src/unit-roles.cpp
@@ -119,6 +119,7 @@
     clock.Advance(std::chrono::seconds(1));
   }
   std::vector<authority::RoleCandidate> candidates;
+  candidates.reserve(5);
   for (int number = 0; number < 5; ++number) {
     candidates.push_back({ core::TargetId("e" + std::to_string(number)),
                            reader,
