--- a/apps/report/service_levels.cpp
+++ b/apps/report/service_levels.cpp
@@ -137,6 +137,7 @@
     }
   }
   std::vector<LevelBurn> burns;
+  burns.reserve(groups.size());
   for (const auto& [key, group] : groups) {
     burns.push_back(ComputeLevel(key, group, until, aObjectives));
   }
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -176,13 +176,15 @@
     return silent;
   }
 
-  // Giving up would cut an answer that the caller has a part of, so a place is waited for; but not
-  // for a peer, which looks for one by itself.
+  // Giving up would cut an answer that the caller has a part of, so a place is waited for. A peer
+  // that has got nothing from this instance yet is refused at once, since it can look elsewhere.
   std::optional<Placement> AwaitPlace()
   {
     const core::MonotonicTime waitingSince = this->context.clock.Now();
     auto place = this->Place();
-    while (!place.has_value() && this->HasBegun() && this->maySpill &&
+    const bool wouldCut =
+      this->HasBegun() && (this->maySpill || this->assembly.Offset() > this->startOffset);
+    while (!place.has_value() && wouldCut &&
            retries::MayWaitForPlace(waitingSince, this->deadline, this->context.clock.Now())) {
       std::this_thread::sleep_for(retries::kPlacePollInterval);
       place = this->Place();
--- a/tests/src/unit-report-exchange.cpp
+++ b/tests/src/unit-report-exchange.cpp
@@ -16,6 +16,7 @@
 Instances(int aCount)
 {
   std::vector<core::InstanceId> instances;
+  instances.reserve(static_cast<std::size_t>(aCount));
   for (int number = 0; number < aCount; ++number) {
     instances.emplace_back("entry-" + std::to_string(number));
   }
@@ -26,6 +27,7 @@
 Engines(int aCount)
 {
   std::vector<core::TargetId> engines;
+  engines.reserve(static_cast<std::size_t>(aCount));
   for (int number = 0; number < aCount; ++number) {
     engines.emplace_back("engine-" + std::to_string(number));
   }
