--- a/apps/ctl/document_diff.cpp
+++ b/apps/ctl/document_diff.cpp
@@ -19,6 +19,12 @@
   return values;
 }
 
+void
+AddLine(std::string& aLines, const char* aSign, const std::string& aPath, const std::string& aValue)
+{
+  aLines.append(aSign).append(aPath).append(" ").append(aValue).append("\n");
+}
+
 } // namespace
 
 std::string
@@ -35,14 +41,14 @@
       after.erase(found);
       continue;
     }
-    lines += "- " + path + " " + value + "\n";
+    AddLine(lines, "- ", path, value);
     if (found != after.end()) {
-      lines += "+ " + path + " " + found->second + "\n";
+      AddLine(lines, "+ ", path, found->second);
       after.erase(found);
     }
   }
   for (const auto& [path, value] : after) {
-    lines += "+ " + path + " " + value + "\n";
+    AddLine(lines, "+ ", path, value);
   }
   return lines;
 }
--- a/tests/fakes/prefix_cache.hpp
+++ b/tests/fakes/prefix_cache.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <list>
-#include <ranges>
 #include <unordered_map>
 #include <vector>
 
@@ -33,9 +33,8 @@
       ++held;
     }
     // The first pieces are the most shared, so they are made the newest.
-    for (const std::uint64_t piece : std::ranges::reverse_view(aPieces)) {
-      this->Keep(piece);
-    }
+    std::for_each(
+      aPieces.rbegin(), aPieces.rend(), [this](std::uint64_t aPiece) { this->Keep(aPiece); });
     while (this->places.size() > this->mostPieces) {
       this->Note(this->newest.back(), false);
       this->places.erase(this->newest.back());
--- a/tests/src/unit-spill-over.cpp
+++ b/tests/src/unit-spill-over.cpp
@@ -15,10 +15,11 @@
 
 using namespace plantainslip; // NOLINT(google-build-using-namespace)
 using nlohmann::json;
-using trompeloeil::_;
 
 namespace {
 
+const auto& kAny = trompeloeil::_;
+
 using Piece = absl::StatusOr<std::optional<std::string>>;
 
 class MockEngines final : public trompeloeil::mock_interface<targets::EngineClient>
@@ -279,7 +280,7 @@
 {
   MockPeers peers;
   const auto failure = [&](MockPeers::Stream aStream, int aPieces) {
-    REQUIRE_CALL(peers, OpenStream(_, _, _, _)).LR_RETURN(std::move(aStream));
+    REQUIRE_CALL(peers, OpenStream(kAny, kAny, kAny, kAny)).LR_RETURN(std::move(aStream));
     auto stream = requests::OpenSpilledCompletion(
       peers, { "127.0.0.1", 1 }, Spilled(), std::chrono::seconds(1));
     if (!stream.ok()) {
@@ -306,7 +307,7 @@
 {
   Instance instance;
   std::vector<requests::SpilledCompletion> asked;
-  REQUIRE_CALL(instance.peers, OpenStream(_, _, _, _))
+  REQUIRE_CALL(instance.peers, OpenStream(kAny, kAny, kAny, kAny))
     .TIMES(2)
     .LR_SIDE_EFFECT(asked.push_back(*requests::ParseSpilledCompletion(_3)))
     .LR_RETURN(asked.size() == 1 ? Answer({ Text(0), Text(1), Lost() })
@@ -323,8 +324,8 @@
 {
   Instance instance;
   instance.AddEngine("a", 1000);
-  FORBID_CALL(instance.engines, Generate(_, _));
-  ALLOW_CALL(instance.peers, OpenStream(_, _, _, _)).RETURN(Answer({ NotRun() }));
+  FORBID_CALL(instance.engines, Generate(kAny, kAny));
+  ALLOW_CALL(instance.peers, OpenStream(kAny, kAny, kAny, kAny)).RETURN(Answer({ NotRun() }));
   CHECK(instance.Run() == observe::RequestEnd::kRefused);
   REQUIRE(instance.sink.problem.has_value());
   CHECK(instance.sink.problem->outcome == core::Outcome::kNotRun);
@@ -339,7 +340,7 @@
     pieces.push_back(json::from_cbor(aPiece));
     return true;
   };
-  FORBID_CALL(instance.peers, OpenStream(_, _, _, _));
+  FORBID_CALL(instance.peers, OpenStream(kAny, kAny, kAny, kAny));
   const std::string message = requests::FormatSpilledCompletion(Spilled());
 
   SUBCASE("when no engine can take it")
