List entry instances under their own names in the example fleet

Cause: start() wrote to the caller's variable 'name', so instances were listed as controllers, and drains and peers counted on processes that did not exist.

--- a/scripts/start-fleet.sh
+++ b/scripts/start-fleet.sh
@@ -26,9 +26,9 @@
 trap stop_fleet EXIT
 trap 'exit 0' INT TERM
 start() {
-  name=$1
+  log=$logs/$1.log
   shift
-  "$@" >"$logs/$name.log" 2>&1 &
+  "$@" >"$log" 2>&1 &
   processes="$processes $!"
 }
 await() {
