--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -96,6 +96,7 @@
 {
   control::ReportExchange exchange(core::InstanceId("entry-0"), {});
   std::vector<core::TargetId> engines;
+  engines.reserve(static_cast<std::size_t>(aEngines));
   for (int engine = 0; engine < aEngines; ++engine) {
     engines.emplace_back("engine-" + std::to_string(engine));
   }
