Copy the state for peers only when it changes; log a missing place once

Found by reading: every engine report copied the whole configuration record (up to a megabyte) and the platform's list into the state for peers, several times a second; and an answer that waits for a target logged a warning every 100 ms. Reports now publish the view alone; the state is published with the list, the record, membership's changes and marks. No timing was measured.

--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -209,6 +209,7 @@
     if (!aState.record.value.empty()) {
       this->AdoptRecord(aState.record);
     }
+    this->Publish();
   }
 
   void AdoptList(std::vector<platform::ListedInstance> aList)
@@ -414,7 +415,7 @@
         this->builder.ForgetReport(engine.target);
       }
     }
-    this->Publish();
+    this->PublishView();
   }
 
   void ReadAllCacheEvents()
@@ -458,18 +459,27 @@
       });
   }
 
+  // Reports come many times a second and change only the view; the state for peers holds the whole
+  // configuration record and list, so it is copied only when one of these or a mark may have
+  // changed.
   void Publish()
   {
+    this->PublishView();
     auto state = std::make_shared<FleetState>();
     state->marks = this->gossip.State().Marks().All();
-    this->builder.AdoptMembership(this->gossip.State().Members(), state->marks);
-    this->board.Publish(this->builder.Build());
     state->version = this->builder.Version();
     state->record = this->record;
     state->list = this->list;
     this->ports.state.Publish(std::move(state));
   }
 
+  void PublishView()
+  {
+    this->builder.AdoptMembership(this->gossip.State().Members(),
+                                  this->gossip.State().Marks().All());
+    this->board.Publish(this->builder.Build());
+  }
+
   ControlLoopOptions options;
   ControlPorts ports;
   ViewBoard& board;
--- a/src/requests/completions.cpp
+++ b/src/requests/completions.cpp
@@ -148,7 +148,7 @@
     }
     if (!place.has_value()) {
       this->retryAfter = noPlace.retryAfter;
-      this->RememberFailure(noPlace.cause, core::Outcome::kNotRun);
+      this->failure = noPlace.cause;
     }
     return place;
   }
@@ -189,6 +189,10 @@
       std::this_thread::sleep_for(retries::kPlacePollInterval);
       place = this->Place();
     }
+    if (!place.has_value()) {
+      // Logged once, however often a place was looked for.
+      this->RememberFailure(this->failure, core::Outcome::kNotRun);
+    }
     return place;
   }
 
