--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include <fakes/forwarding_store.hpp>
 #include <fakes/memory_store.hpp>
 
 #include <plantainslip/claims/claim_book.hpp>
@@ -30,13 +31,10 @@
 constexpr std::chrono::seconds kDuration{ 5 };
 
 // Adds the platform's answering time, and counts bytes written.
-class SlowStore final : public platform::Store
+class SlowStore final : public fakes::ForwardingStore
 {
 public:
-  explicit SlowStore(platform::Store& aStore)
-    : store(aStore)
-  {
-  }
+  using ForwardingStore::ForwardingStore;
 
   absl::StatusOr<std::optional<platform::StoredValue>> Get(const std::string& aKey) override
   {
@@ -55,38 +53,9 @@
     return this->store.CompareAndSwap(aKey, aExpected, aValue);
   }
 
-  absl::StatusOr<std::vector<platform::KeyedValue>> List(const std::string& aPrefix) override
-  {
-    return this->store.List(aPrefix);
-  }
-  absl::StatusOr<std::optional<platform::StoredValue>>
-  Watch(const std::string& aKey, core::Revision aAfter, std::chrono::milliseconds aTimeout) override
-  {
-    return this->store.Watch(aKey, aAfter, aTimeout);
-  }
-  absl::StatusOr<platform::LeaseGrant> AcquireLease(const std::string& aName,
-                                                    const std::string& aHolder,
-                                                    std::chrono::milliseconds aDuration) override
-  {
-    return this->store.AcquireLease(aName, aHolder, aDuration);
-  }
-  absl::StatusOr<platform::LeaseGrant> RenewLease(const std::string& aName,
-                                                  core::FencingToken aToken,
-                                                  std::chrono::milliseconds aDuration) override
-  {
-    return this->store.RenewLease(aName, aToken, aDuration);
-  }
-  absl::Status ReleaseLease(const std::string& aName, core::FencingToken aToken) override
-  {
-    return this->store.ReleaseLease(aName, aToken);
-  }
-
   std::atomic<std::uint64_t> reads = 0;
   std::atomic<std::uint64_t> writes = 0;
   std::atomic<std::uint64_t> bytes = 0;
-
-private:
-  platform::Store& store;
 };
 
 // Hands messages to the book of the instance whose number is the port.
--- a/tests/src/unit-patch-outcome.cpp
+++ b/tests/src/unit-patch-outcome.cpp
@@ -2,6 +2,7 @@
 
 #include <deque>
 
+#include <fakes/forwarding_store.hpp>
 #include <fakes/memory_store.hpp>
 
 #include <plantainslip/config/commands/submit_patch.hpp>
@@ -16,13 +17,10 @@
 using Reading = absl::StatusOr<std::optional<platform::StoredValue>>;
 
 // A store whose next readings lag: they are answered with what was put aside before.
-class LaggingStore final : public platform::Store
+class LaggingStore final : public fakes::ForwardingStore
 {
 public:
-  explicit LaggingStore(platform::Store& aStore)
-    : store(aStore)
-  {
-  }
+  using ForwardingStore::ForwardingStore;
 
   // The next readings, from the one that follows `aAfter` more, show the value of now.
   void Freeze(int aReadings, int aAfter)
@@ -43,41 +41,7 @@
     return this->store.Get(aKey);
   }
 
-  absl::StatusOr<std::vector<platform::KeyedValue>> List(const std::string& aPrefix) override
-  {
-    return this->store.List(aPrefix);
-  }
-  absl::StatusOr<core::Revision> CompareAndSwap(const std::string& aKey,
-                                                core::Revision aExpected,
-                                                const std::string& aValue) override
-  {
-    return this->store.CompareAndSwap(aKey, aExpected, aValue);
-  }
-  Reading Watch(const std::string& aKey,
-                core::Revision aAfter,
-                std::chrono::milliseconds aTimeout) override
-  {
-    return this->store.Watch(aKey, aAfter, aTimeout);
-  }
-  absl::StatusOr<platform::LeaseGrant> AcquireLease(const std::string& aName,
-                                                    const std::string& aHolder,
-                                                    std::chrono::milliseconds aDuration) override
-  {
-    return this->store.AcquireLease(aName, aHolder, aDuration);
-  }
-  absl::StatusOr<platform::LeaseGrant> RenewLease(const std::string& aName,
-                                                  core::FencingToken aToken,
-                                                  std::chrono::milliseconds aDuration) override
-  {
-    return this->store.RenewLease(aName, aToken, aDuration);
-  }
-  absl::Status ReleaseLease(const std::string& aName, core::FencingToken aToken) override
-  {
-    return this->store.ReleaseLease(aName, aToken);
-  }
-
 private:
-  platform::Store& store;
   Reading old = std::optional<platform::StoredValue>();
   int lagging = 0;
   int fresh = 0;
