--- /dev/null
+++ b/include/plantainslip/serving/load_book.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include <plantainslip/serving/fleet.hpp>
+
+namespace plantainslip::serving {
+
+/// @brief Work that a target holds.
+struct TargetLoad
+{
+  /// @brief Requests sent and not yet answered to the end.
+  double requests = 0.0;
+  /// @brief Prompt tokens sent and not yet read.
+  double prefillTokens = 0.0;
+
+  bool operator==(const TargetLoad&) const = default;
+};
+
+/// @brief Loads that one instance has put on targets.
+using LoadTable = std::map<core::TargetId, TargetLoad>;
+
+/// @brief What all instances have sent to each target: counted here, reported by the others.
+///
+/// Answers bursts and shifts of the token mix: a target's queue is known within a fraction of its
+/// service time, though no instance sees all requests. Not safe to share between threads.
+class LoadBook
+{
+public:
+  /// @brief Age at which a peer's report no longer counts: a few reporting intervals.
+  static constexpr milliseconds kReportLifetime{ 1'000 };
+
+  /// @brief Counts work that was sent. Logarithmic in the number of targets.
+  void Add(const core::TargetId& aTarget, const TargetLoad& aLoad);
+
+  /// @brief Takes back work that has ended. Logarithmic in the number of targets.
+  void Remove(const core::TargetId& aTarget, const TargetLoad& aLoad);
+
+  /// @brief Takes a peer's report in place of its last one.
+  void SetPeer(const core::InstanceId& aPeer, LoadTable aLoads, core::MonotonicTime aNow);
+
+  /// @brief Gives what this instance has sent.
+  const LoadTable& Own() const { return this->own; }
+
+  /// @brief Gives what all instances have sent to a target; linear in the number of peers.
+  TargetLoad Total(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
+
+  /// @brief Counts peers whose reports are fresh; linear in the number of peers.
+  std::size_t LivePeers(core::MonotonicTime aNow) const;
+
+private:
+  struct PeerReport
+  {
+    LoadTable loads;
+    core::MonotonicTime at;
+  };
+
+  LoadTable own;
+  std::map<core::InstanceId, PeerReport> peers;
+};
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/include/plantainslip/serving/stage_plan.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <vector>
+
+#include <plantainslip/serving/fleet.hpp>
+
+namespace plantainslip::serving {
+
+/// @brief One change of an engine's stage.
+struct StageChange
+{
+  Target target;
+  EngineStage stage = EngineStage::kNone;
+};
+
+/// @brief How a service's engines are to be divided between the stages.
+struct StageGoal
+{
+  /// @brief Share of a zone's engines that decode; at least one in each zone that has two.
+  double decodeShare = 0.25;
+  /// @brief Shortfall that is left alone, in engines: a change costs an engine for seconds.
+  std::size_t tolerated = 0;
+};
+
+/// @brief Plans the changes that bring each zone's engines to the goal.
+///
+/// Answers a fleet that starts far from the mix that its load needs, and engines that leave.
+/// Engines that leave count for nothing. At most half of a zone's engines change at a time.
+/// @return the changes, in the order of the targets; linear in the number of targets
+std::vector<StageChange>
+PlanStages(const FleetSnapshot& aFleet, const core::ServiceName& aService, const StageGoal& aGoal);
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/include/plantainslip/serving/target_health.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+
+#include <plantainslip/serving/fleet.hpp>
+
+namespace plantainslip::serving {
+
+/// @brief What became of one attempt, as far as it speaks of the target.
+enum class AttemptResult
+{
+  kAnswered,
+  /// @brief The target answered with a failure of its own or broke off.
+  kFailed,
+  /// @brief The target refused without running the request.
+  kRefused,
+  /// @brief No connection, or silence until a timeout.
+  kUnreachable,
+};
+
+/// @brief Judges targets by their answers, since their own health checks may be wrong.
+///
+/// Answers grey targets, cut zones and dead addresses. A target that cannot be reached is avoided
+/// for a time that doubles with each further failure and ends by itself; a target that fails part
+/// of its requests costs more in placement. Not safe to share between threads.
+class TargetHealth
+{
+public:
+  /// @brief First time that an unreachable target is avoided: about ten service times.
+  static constexpr milliseconds kFirstAvoidance{ 250 };
+  /// @brief Longest time; bounds how late a target that came back gets work.
+  static constexpr milliseconds kLongestAvoidance{ 2'000 };
+  /// @brief Weight of the newest result in the failure rate: remembers about ten attempts.
+  static constexpr double kNewestWeight = 0.1;
+
+  /// @brief Counts the result of an attempt. Logarithmic in the number of targets.
+  void Record(const core::TargetId& aTarget, AttemptResult aResult, core::MonotonicTime aNow);
+
+  /// @brief Tells whether a target is to be passed over while there are others.
+  bool Avoided(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
+
+  /// @brief Gives the recent share of failed attempts, from 0 to 1.
+  double FailureRate(const core::TargetId& aTarget) const;
+
+private:
+  struct Judgement
+  {
+    double failureRate = 0.0;
+    int unreachableInARow = 0;
+    core::MonotonicTime avoidedUntil;
+  };
+
+  std::map<core::TargetId, Judgement> records;
+};
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/asio.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+// Boost 1.74 uses std::exchange in awaitable.hpp without this header.
+#include <utility>
+
+#include <boost/asio.hpp>
+
+namespace plantainslip::serving {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using Udp = asio::ip::udp;
+using ErrorCode = boost::system::error_code;
+
+/// @brief Coroutine that gives a value.
+template<typename Value>
+using Task = asio::awaitable<Value>;
+
+/// @brief Completion token that reports errors in a variable in place of throwing.
+inline auto
+Into(ErrorCode& aError)
+{
+  return asio::redirect_error(asio::use_awaitable, aError);
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/async_store.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include <plantainslip/core/ids.hpp>
+
+#include "asio.hpp"
+
+namespace plantainslip::serving {
+
+/// @brief A lease of the store; its keys vanish when it ends.
+using LeaseId = core::StrongNumber<struct LeaseIdTag>;
+
+/// @brief One key of the store, or its removal.
+struct StoreItem
+{
+  std::string key;
+  std::string value;
+  /// @brief Revision of the last change of this key.
+  core::Revision revision;
+  LeaseId lease;
+  bool removed = false;
+};
+
+/// @brief Items or changes, and the revision of the store that they reach up to.
+struct StoreItems
+{
+  std::vector<StoreItem> items;
+  core::Revision upTo;
+};
+
+/// @brief Whether a read may be seconds old, which costs a tenth.
+enum class Freshness
+{
+  kNewest,
+  kMayBeStale,
+};
+
+/// @brief The platform's store, for the control thread.
+/// @note Errors: 1507 (serving.store_unavailable), 1508 (serving.store_outcome_unknown), and those
+///       that a call names.
+class AsyncStore
+{
+public:
+  virtual ~AsyncStore() = default;
+
+  /// @brief Reads all keys that begin alike.
+  virtual Task<absl::StatusOr<StoreItems>> List(std::string aPrefix, Freshness aFreshness) = 0;
+
+  /// @brief Waits for changes after a revision.
+  /// @return the changes in order, or error 1510 (serving.history_gone)
+  virtual Task<absl::StatusOr<StoreItems>> Watch(std::string aPrefix,
+                                                 core::Revision aAfter,
+                                                 std::chrono::milliseconds aWait) = 0;
+
+  /// @brief Writes a key bound to a lease.
+  /// @param aExpected  revision that the key must have, zero for none; nothing to write anyway
+  /// @return the new revision, or error 1509 (serving.store_conflict)
+  virtual Task<absl::StatusOr<core::Revision>> Put(std::string aKey,
+                                                   std::string aValue,
+                                                   LeaseId aLease,
+                                                   std::optional<core::Revision> aExpected) = 0;
+
+  /// @brief Makes a lease.
+  virtual Task<absl::StatusOr<LeaseId>> Grant(std::chrono::milliseconds aDuration) = 0;
+
+  /// @brief Prolongs a lease by its duration, from the arrival of the call.
+  /// @return OK, or error 1509 (serving.store_conflict) if it has ended
+  virtual Task<absl::Status> Renew(LeaseId aLease) = 0;
+};
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/attempt.cpp
@@ -0,0 +1,158 @@
+#include "attempt.hpp"
+
+#include <plantainslip/core/log.hpp>
+#include <plantainslip/serving/errors.hpp>
+
+#include "http_head.hpp"
+
+namespace plantainslip::serving {
+
+namespace {
+
+/// Largest answer that is read whole before it is passed on.
+constexpr std::size_t kMostBufferedAnswer = 8'388'608;
+/// A kept connection may have been dropped by its peer without notice. What must not be sent twice
+/// goes out on connections that were in use a moment ago.
+constexpr milliseconds kLongestIdleIdempotent{ 4'000 };
+constexpr milliseconds kLongestIdleAtMostOnce{ 1'000 };
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+} // namespace
+
+bool
+PromisesNotRun(int aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+milliseconds
+TimeLeft(const PathContext& aContext, const PathRequest& aRequest)
+{
+  return std::chrono::duration_cast<milliseconds>(aRequest.deadline - aContext.clock.Now());
+}
+
+HeaderList
+ForwardedAnswerHeaders(const HeaderList& aHeaders)
+{
+  HeaderList forwarded;
+  for (const Header& header : aHeaders) {
+    if (!IsHopByHop(aHeaders, header.name) && !EqualIgnoringCase(header.name, "Content-Length")) {
+      forwarded.push_back(header);
+    }
+  }
+  return forwarded;
+}
+
+std::string
+AttemptCall::RequestHead(AttemptPlan& aPlan) const
+{
+  HeaderList headers;
+  const HeaderList& sent = this->request.caller.headers;
+  for (const Header& header : sent) {
+    const bool dropped =
+      IsHopByHop(sent, header.name) || this->context.protocol.IsReserved(header.name) ||
+      EqualIgnoringCase(header.name, "Content-Length") ||
+      (!aPlan.lastEventId.empty() && EqualIgnoringCase(header.name, "Last-Event-ID"));
+    if (!dropped) {
+      headers.push_back(header);
+    }
+  }
+  aPlan.timeLeft = std::max(milliseconds(1), TimeLeft(this->context, this->request));
+  aPlan.target = this->target.id;
+  for (Header& header : this->context.protocol.AttemptHeaders(aPlan)) {
+    headers.push_back(std::move(header));
+  }
+  return FormatRequestHead(this->request.caller.method,
+                           this->request.caller.target,
+                           headers,
+                           this->request.caller.body.size());
+}
+
+AttemptState
+AttemptCall::StateOf(const absl::Status& aStatus) const
+{
+  if (this->request.cancellation.Reason().has_value()) {
+    return AttemptState::kCancelled;
+  }
+  if (this->limit != nullptr && this->limit->Expired()) {
+    return AttemptState::kTimedOut;
+  }
+  return core::IsError(aStatus, errors::kNotConnected) ? AttemptState::kNotSent
+                                                       : AttemptState::kUnknown;
+}
+
+Task<Attempt>
+AttemptCall::Open(AttemptPlan aPlan, milliseconds aLimit)
+{
+  const auto cancel = [this] { this->cancellation.Cancel(CancelReason::kDeadline); };
+  this->link = std::make_unique<Cancellation::Scope>(this->request.cancellation, cancel);
+  this->limit = std::make_unique<TimeLimit>(this->context.executor, aLimit, cancel);
+  Attempt attempt;
+  if (this->request.cancellation.Reason().has_value()) {
+    attempt.state = AttemptState::kCancelled;
+    co_return attempt;
+  }
+  const bool idempotent =
+    this->request.route.kind == RequestKind::kIdempotent || aPlan.step == AttemptStep::kPrefill;
+  auto connection =
+    co_await this->context.pool.Take(this->target.address,
+                                     idempotent ? kLongestIdleIdempotent : kLongestIdleAtMostOnce,
+                                     this->cancellation);
+  if (!connection.ok()) {
+    attempt.state = this->StateOf(connection.status());
+    // Nothing was sent, whatever ended the wait for the connection.
+    attempt.state =
+      attempt.state == AttemptState::kCancelled ? attempt.state : AttemptState::kNotSent;
+    attempt.detail = std::string(connection.status().message());
+    co_return attempt;
+  }
+  this->call = std::make_unique<TargetCall>(std::move(*connection),
+                                            this->request.facts.id.Text(),
+                                            this->context.protocol.RequestIdHeader(),
+                                            this->cancellation);
+  const bool mayRun = aPlan.step != AttemptStep::kPrefill;
+  const bool ranBefore = this->request.mayHaveRun;
+  this->request.mayHaveRun = ranBefore || mayRun;
+  ++this->request.attempts;
+  this->request.sentTo.push_back(this->target.id);
+  std::string requestHead = this->RequestHead(aPlan);
+  const absl::Status sent =
+    co_await this->call->Send(std::move(requestHead), this->request.caller.body);
+  // A target may answer before it has read the whole request and then close, so the answer is read
+  // even if sending failed.
+  auto head = co_await this->call->ReadHead(this->request.caller.method == "HEAD");
+  if (!head.ok()) {
+    attempt.state = this->StateOf(sent.ok() ? head.status() : sent);
+    attempt.detail = std::string(head.status().message());
+    co_return attempt;
+  }
+  attempt.facts = this->context.protocol.ReadAnswer(head->status, head->headers);
+  attempt.head = std::move(*head);
+  attempt.state = AttemptState::kAnswered;
+  const int status = attempt.head.status;
+  const bool success = status >= kFirstSuccess && status < kFirstRedirect;
+  if (attempt.facts.notRun) {
+    attempt.state = AttemptState::kNotRun;
+    this->request.mayHaveRun = ranBefore;
+  } else if ((success && !attempt.facts.sealed && mayRun) || PromisesNotRun(status)) {
+    attempt.state = AttemptState::kUnknown;
+  }
+  if (attempt.state != AttemptState::kAnswered) {
+    attempt.detail = "status " + std::to_string(status);
+    const auto rest = co_await this->ReadAll();
+    if (rest.ok() && attempt.state == AttemptState::kNotRun) {
+      this->Finish();
+    }
+  }
+  co_return attempt;
+}
+
+Task<absl::StatusOr<std::string>>
+AttemptCall::ReadAll()
+{
+  return this->call->ReadAll(kMostBufferedAnswer);
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/caller_session.cpp
@@ -0,0 +1,333 @@
+#include "caller_session.hpp"
+
+#include <array>
+
+#include <boost/beast/http/read.hpp>
+#include <netinet/tcp.h>
+
+#include "http_head.hpp"
+
+namespace plantainslip::serving {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8'192;
+/// Bytes of further requests that are taken in while one is served.
+constexpr std::size_t kMostReadAhead = 65'536;
+/// A caller that does not take its answer for this long is gone.
+constexpr int kUnacknowledgedMs = 10'000;
+/// Longest wait for the caller's end of a connection that was closed here.
+constexpr std::chrono::milliseconds kCloseWait{ 500 };
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
+
+CallerRequest
+ToCallerRequest(http::request<http::string_body>&& aMessage, core::MonotonicTime aArrival)
+{
+  CallerRequest request;
+  request.arrival = aArrival;
+  const auto method = aMessage.method_string();
+  request.method = std::string(method.data(), method.size());
+  const auto target = aMessage.target();
+  request.target = std::string(target.data(), target.size());
+  for (const auto& field : aMessage) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    request.headers.push_back(
+      { std::string(name.data(), name.size()), std::string(value.data(), value.size()) });
+  }
+  const std::string* const host = FindHeader(request.headers, "Host");
+  request.host = host == nullptr ? "" : host->substr(0, host->find(':'));
+  request.body = std::move(aMessage.body());
+  return request;
+}
+
+std::string
+ChunkOf(const std::string& aPiece)
+{
+  std::array<char, 20> length{};
+  const int written = std::snprintf(length.data(), length.size(), "%zx\r\n", aPiece.size());
+  return std::string(length.data(), static_cast<std::size_t>(written)) + aPiece + "\r\n";
+}
+
+} // namespace
+
+CallerSession::CallerSession(FrontDoor& aDoor, Tcp::socket aSocket)
+  : door(aDoor)
+  , socket(std::move(aSocket))
+  , watchEnded(this->socket.get_executor())
+{
+  this->door.sessions.insert(this);
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  ErrorCode ignored;
+  this->socket.set_option(Tcp::no_delay(true), ignored);
+  this->socket.set_option(UserTimeout(kUnacknowledgedMs), ignored);
+}
+
+CallerSession::~CallerSession()
+{
+  this->door.sessions.erase(this);
+}
+
+void
+CallerSession::Close()
+{
+  ErrorCode ignored;
+  this->socket.close(ignored);
+}
+
+Task<bool>
+CallerSession::AwaitBytes()
+{
+  if (this->buffer.size() > 0) {
+    co_return true;
+  }
+  const TimeLimit limit(
+    this->socket.get_executor(), this->door.limits.idleTimeout, [this] { this->Close(); });
+  ErrorCode error;
+  const std::size_t count =
+    co_await this->socket.async_read_some(this->buffer.prepare(kReadBytes), Into(error));
+  this->buffer.commit(count);
+  co_return !error;
+}
+
+Task<void>
+CallerSession::RefuseBadRequest(ErrorCode aError, bool aTimedOut)
+{
+  this->keepAlive = false;
+  int status = kBadRequest;
+  if (aTimedOut) {
+    status = kRequestTimeout;
+  } else if (aError == http::error::header_limit) {
+    status = kHeadersTooLarge;
+  } else if (aError == http::error::body_limit) {
+    status = kPayloadTooLarge;
+  } else if (aError == http::error::end_of_stream || aError == http::error::partial_message ||
+             aError.category() != http::make_error_code(http::error::bad_method).category()) {
+    co_return;
+  }
+  co_await this->WriteWhole(status, HeaderList(), std::string());
+}
+
+Task<bool>
+CallerSession::ReadBody(Parser& aParser)
+{
+  const TimeLimit limit(
+    this->socket.get_executor(), this->door.limits.idleTimeout, [this] { this->Close(); });
+  // Literals stay out of co_await expressions: GCC 12 fails to compile them there.
+  const std::string expected(aParser.get()["Expect"]);
+  if (EqualIgnoringCase(expected, "100-continue")) {
+    std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!co_await this->Write(std::move(interim))) {
+      co_return false;
+    }
+  }
+  ErrorCode error;
+  co_await http::async_read(this->socket, this->buffer, aParser, Into(error));
+  if (error) {
+    co_await this->RefuseBadRequest(error, limit.Expired());
+    co_return false;
+  }
+  co_return true;
+}
+
+Task<std::optional<CallerRequest>>
+CallerSession::ReadRequest()
+{
+  this->begun = false;
+  this->complete = false;
+  this->bodiless = false;
+  if (!co_await this->AwaitBytes()) {
+    co_return std::nullopt;
+  }
+  this->busy = true;
+  const core::MonotonicTime arrival = this->door.clock.Now();
+  Parser parser;
+  parser.header_limit(this->door.limits.headerBytes);
+  parser.body_limit(this->door.limits.bodyBytes);
+  ErrorCode error;
+  {
+    const TimeLimit limit(this->socket.get_executor(), this->door.limits.headerTimeout, [this] {
+      ErrorCode ignored;
+      this->socket.cancel(ignored);
+    });
+    co_await http::async_read_header(this->socket, this->buffer, parser, Into(error));
+    if (error) {
+      co_await this->RefuseBadRequest(error, limit.Expired());
+      co_return std::nullopt;
+    }
+  }
+  this->keepAlive = parser.keep_alive();
+  constexpr unsigned kChunkedSince = 11;
+  this->chunked = parser.get().version() >= kChunkedSince;
+  if (!parser.is_done()) {
+    const bool read = co_await this->ReadBody(parser);
+    if (!read) {
+      co_return std::nullopt;
+    }
+  }
+  this->bodiless = parser.get().method() == http::verb::head;
+  co_return ToCallerRequest(parser.release(), arrival);
+}
+
+Task<void>
+CallerSession::Watch()
+{
+  while (this->buffer.size() < kMostReadAhead) {
+    ErrorCode error;
+    const std::size_t count =
+      co_await this->socket.async_read_some(this->buffer.prepare(kReadBytes), Into(error));
+    this->buffer.commit(count);
+    if (error) {
+      if (error != asio::error::operation_aborted) {
+        this->keepAlive = false;
+        this->cancellation->Cancel(CancelReason::kCallerLeft);
+      }
+      break;
+    }
+  }
+  this->watching = false;
+  this->watchEnded.cancel();
+}
+
+Task<void>
+CallerSession::StopWatch()
+{
+  ErrorCode ignored;
+  this->socket.cancel(ignored);
+  while (this->watching) {
+    this->watchEnded.expires_at(asio::steady_timer::time_point::max());
+    ErrorCode ended;
+    co_await this->watchEnded.async_wait(Into(ended));
+  }
+}
+
+Task<void>
+CallerSession::ServeOne(const CallerRequest& aRequest)
+{
+  Cancellation current;
+  this->cancellation = &current;
+  this->watching = true;
+  asio::co_spawn(
+    this->socket.get_executor(),
+    [self = this->shared_from_this()]() -> Task<void> { return self->Watch(); },
+    asio::detached);
+  co_await this->door.handler(aRequest, *this, current);
+  co_await this->StopWatch();
+  this->cancellation = nullptr;
+}
+
+Task<void>
+CallerSession::Run()
+{
+  const auto self = this->shared_from_this();
+  do {
+    const std::optional<CallerRequest> request = co_await this->ReadRequest();
+    if (!request.has_value()) {
+      break;
+    }
+    co_await this->ServeOne(*request);
+    this->busy = false;
+  } while (this->complete && this->keepAlive);
+  co_await this->CloseGently();
+}
+
+Task<void>
+CallerSession::CloseGently()
+{
+  if (!this->complete || !this->socket.is_open()) {
+    this->Close();
+    co_return;
+  }
+  // Closing with unread bytes would reset the connection and could lose the answer.
+  ErrorCode error;
+  this->socket.shutdown(Tcp::socket::shutdown_send, error);
+  const TimeLimit limit(this->socket.get_executor(), kCloseWait, [this] { this->Close(); });
+  std::array<char, kReadBytes> discarded{};
+  while (!error) {
+    co_await this->socket.async_read_some(asio::buffer(discarded), Into(error));
+  }
+  this->Close();
+}
+
+Task<bool>
+CallerSession::Write(std::string aBytes)
+{
+  ErrorCode error;
+  std::optional<Cancellation::Scope> scope;
+  if (this->cancellation != nullptr && this->begun) {
+    // A caller that does not read must not hold the request past its deadline.
+    scope.emplace(*this->cancellation, [this] { this->Close(); });
+  }
+  co_await asio::async_write(this->socket, asio::buffer(aBytes), Into(error));
+  if (error && this->cancellation != nullptr) {
+    this->cancellation->Cancel(CancelReason::kCallerLeft);
+  }
+  co_return !error;
+}
+
+Task<bool>
+CallerSession::WriteWhole(int aStatus, HeaderList aHeaders, std::string aBody)
+{
+  this->keepAlive = this->keepAlive && !this->door.stopping;
+  aHeaders.push_back({ "Content-Length", std::to_string(aBody.size()) });
+  if (!this->keepAlive) {
+    aHeaders.push_back({ "Connection", "close" });
+  }
+  std::string bytes = FormatAnswerHead(aStatus, aHeaders);
+  if (!this->bodiless) {
+    bytes += aBody;
+  }
+  this->complete = co_await this->Write(std::move(bytes));
+  this->begun = true;
+  co_return this->complete;
+}
+
+Task<bool>
+CallerSession::BeginStream(int aStatus, HeaderList aHeaders)
+{
+  this->keepAlive = this->keepAlive && !this->door.stopping && this->chunked;
+  if (this->chunked) {
+    aHeaders.push_back({ "Transfer-Encoding", "chunked" });
+  }
+  if (!this->keepAlive) {
+    aHeaders.push_back({ "Connection", "close" });
+  }
+  this->begun = true;
+  std::string head = FormatAnswerHead(aStatus, aHeaders);
+  const bool written = co_await this->Write(std::move(head));
+  co_return written;
+}
+
+Task<bool>
+CallerSession::WritePiece(std::string aPiece)
+{
+  std::string bytes = this->chunked ? ChunkOf(aPiece) : std::move(aPiece);
+  const bool written = co_await this->Write(std::move(bytes));
+  co_return written;
+}
+
+Task<bool>
+CallerSession::EndStream()
+{
+  this->complete = true;
+  if (this->chunked) {
+    std::string lastChunk = "0\r\n\r\n";
+    this->complete = co_await this->Write(std::move(lastChunk));
+  }
+  co_return this->complete;
+}
+
+void
+CallerSession::Break()
+{
+  this->keepAlive = false;
+  this->Close();
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/caller_session.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <optional>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "front_door.hpp"
+
+namespace plantainslip::serving {
+
+/// @brief One connection of a caller: reads requests, watches for the caller's leaving, writes
+///        answers.
+class CallerSession final
+  : public AnswerWriter
+  , public std::enable_shared_from_this<CallerSession>
+{
+public:
+  CallerSession(FrontDoor& aDoor, Tcp::socket aSocket);
+  ~CallerSession() override;
+
+  /// @brief Serves requests until the connection ends.
+  Task<void> Run();
+
+  /// @brief Tells whether a request is being read or served.
+  bool Busy() const { return this->busy; }
+
+  /// @brief Closes the connection at once.
+  void Close();
+
+  Task<bool> WriteWhole(int aStatus, HeaderList aHeaders, std::string aBody) override;
+  Task<bool> BeginStream(int aStatus, HeaderList aHeaders) override;
+  Task<bool> WritePiece(std::string aPiece) override;
+  Task<bool> EndStream() override;
+  void Break() override;
+  bool Begun() const override { return this->begun; }
+
+private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  Task<bool> AwaitBytes();
+  Task<std::optional<CallerRequest>> ReadRequest();
+  Task<bool> ReadBody(Parser& aParser);
+  Task<void> RefuseBadRequest(ErrorCode aError, bool aTimedOut);
+  Task<void> ServeOne(const CallerRequest& aRequest);
+  Task<void> Watch();
+  Task<void> StopWatch();
+  Task<bool> Write(std::string aBytes);
+  Task<void> CloseGently();
+
+  FrontDoor& door;
+  Tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  asio::steady_timer watchEnded;
+  Cancellation* cancellation = nullptr;
+  bool busy = false;
+  bool watching = false;
+  bool keepAlive = true;
+  bool chunked = true;
+  bool bodiless = false;
+  bool begun = false;
+  bool complete = false;
+};
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/completion_path.cpp
@@ -0,0 +1,365 @@
+#include <algorithm>
+
+#include <plantainslip/core/log.hpp>
+#include <plantainslip/serving/admission_rule.hpp>
+#include <plantainslip/serving/event_stream.hpp>
+
+#include "attempt.hpp"
+#include "http_head.hpp"
+#include "request_path.hpp"
+#include "simple_call.hpp"
+
+namespace plantainslip::serving {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+/// A prefill that takes this many times its estimate and this long besides will not come.
+constexpr int kPrefillPatience = 3;
+constexpr milliseconds kPrefillSlack{ 800 };
+constexpr milliseconds kReleaseTimeout{ 500 };
+constexpr std::size_t kMostUnreachable = 4;
+
+/// @brief Where the cache of a prompt lies.
+struct HeldPrompt
+{
+  Target engine;
+  std::string handle;
+};
+
+/// @brief One completion from its admission to the end of its stream.
+class Completion
+{
+public:
+  Completion(PathContext& aContext, PathRequest& aRequest)
+    : context(aContext)
+    , request(aRequest)
+    , prompt(*aRequest.facts.prompt)
+  {
+  }
+
+  Task<void> Serve();
+
+private:
+  enum class PrefillEnd
+  {
+    kHeld,
+    kNoEngine,
+    kEnded,
+  };
+  enum class StreamEnd
+  {
+    kComplete,
+    kBroken,
+    kCallerGone,
+  };
+
+  Task<PrefillEnd> Prefill();
+  Task<void> Decode();
+  Task<StreamEnd> Relay(AttemptCall& aCall, const Attempt& aAttempt);
+  Task<bool> Forward(const Attempt& aAttempt, std::string aBytes);
+  bool MayResume();
+  void ReleaseHandle();
+  AttemptPlan DecodePlan() const;
+  std::optional<Target> ChooseOutputEngine() const;
+  void RecordPrefill(const PrefillPlace& aPlace,
+                     const Attempt& aAttempt,
+                     milliseconds aTook,
+                     double aQueued);
+
+  PathContext& context;
+  PathRequest& request;
+  const PromptFacts& prompt;
+  std::optional<HeldPrompt> held;
+  /// Whether the next sending lets the engine read the prompt itself.
+  bool withoutHandle = false;
+  EventStream events;
+  TriedTargets decodeTried;
+};
+
+Task<void>
+FreeHandle(PathContext& aContext, net::Address aAddress, std::string aPath)
+{
+  SimpleRequest free{ aAddress, "DELETE", std::move(aPath), {}, "", kReleaseTimeout, true };
+  const auto answer = co_await CallOnce(aContext.pool, std::move(free));
+  if (!answer.ok()) {
+    core::Log(
+      core::LogLevel::kWarning,
+      "handle not released; it lapses by itself",
+      { { "target", aAddress.Text() }, { "error", std::string(answer.status().message()) } });
+  }
+}
+
+void
+Completion::ReleaseHandle()
+{
+  if (this->held.has_value() && !this->held->handle.empty()) {
+    asio::co_spawn(this->context.executor,
+                   FreeHandle(this->context,
+                              this->held->engine.address,
+                              this->context.protocol.HandlePath(this->held->handle)),
+                   asio::detached);
+  }
+  this->held.reset();
+}
+
+void
+Completion::RecordPrefill(const PrefillPlace& aPlace,
+                          const Attempt& aAttempt,
+                          milliseconds aTook,
+                          double aQueued)
+{
+  const core::MonotonicTime now = this->context.clock.Now();
+  switch (aAttempt.state) {
+    case AttemptState::kAnswered:
+      this->context.metrics.prefillCall.Record(aTook);
+      this->context.prefill.Learn(aPlace.target.id, aQueued + aPlace.tokens, aTook);
+      this->context.health.Record(aPlace.target.id, AttemptResult::kAnswered, now);
+      break;
+    case AttemptState::kNotRun:
+      this->context.health.Record(aPlace.target.id, AttemptResult::kRefused, now);
+      break;
+    case AttemptState::kUnknown:
+      this->context.health.Record(aPlace.target.id, AttemptResult::kFailed, now);
+      break;
+    case AttemptState::kTimedOut:
+    case AttemptState::kNotSent:
+      this->context.pool.Forget(aPlace.target.address);
+      this->context.health.Record(aPlace.target.id, AttemptResult::kUnreachable, now);
+      break;
+    case AttemptState::kCancelled:
+      break;
+  }
+}
+
+Task<Completion::PrefillEnd>
+Completion::Prefill()
+{
+  while (true) {
+    TriedTargets tried = this->request.sentTo;
+    tried.insert(tried.end(), this->request.unreachable.begin(), this->request.unreachable.end());
+    const auto place =
+      ChoosePrefill(this->context.View(), this->request.service.name, this->prompt, tried);
+    if (!place.has_value()) {
+      co_return PrefillEnd::kNoEngine;
+    }
+    const auto started = this->context.clock.Now();
+    const auto elapsed =
+      std::chrono::duration_cast<milliseconds>(started - this->request.caller.arrival);
+    if (const auto wait = DecideRefusal(this->request.route, *place, elapsed)) {
+      std::string reason = "queue_too_long";
+      co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), *wait);
+      co_return PrefillEnd::kEnded;
+    }
+    const double queued = this->context.loads.Total(place->target.id, started).prefillTokens;
+    const LoadScope load(this->context.loads, place->target.id, { 1.0, place->tokens });
+    AttemptCall call(this->context, this->request, place->target);
+    AttemptPlan plan;
+    plan.step = AttemptStep::kPrefill;
+    plan.rank = this->request.route.rank;
+    plan.fetchFrom = place->fetchFrom;
+    const auto limit = place->wait + place->reading * kPrefillPatience + kPrefillSlack;
+    Attempt attempt = co_await call.Open(plan, limit);
+    const auto took = std::chrono::duration_cast<milliseconds>(this->context.clock.Now() - started);
+    this->RecordPrefill(*place, attempt, took, queued);
+    if (attempt.state == AttemptState::kAnswered && attempt.head.status == kOk) {
+      const auto body = co_await call.ReadAll();
+      const auto result = body.ok() ? this->context.protocol.ReadPrefill(*body)
+                                    : absl::StatusOr<PrefillResult>(body.status());
+      if (result.ok()) {
+        call.Finish();
+        this->held = HeldPrompt{ place->target, result->handle };
+        // A first prefill counts neither as an attempt nor as a target that the request was sent
+        // to.
+        if (this->request.attempts == 1) {
+          this->request.attempts = 0;
+          this->request.sentTo.clear();
+        }
+        co_return PrefillEnd::kHeld;
+      }
+      attempt.detail = std::string(result.status().message());
+    }
+    if (attempt.state == AttemptState::kNotSent) {
+      this->request.unreachable.push_back(place->target.id);
+      if (this->request.unreachable.size() < kMostUnreachable) {
+        continue;
+      }
+    }
+    // One sending must be left for the output.
+    const bool again =
+      static_cast<int>(this->request.attempts) + 1 < this->request.route.mostTargets;
+    if (!again || !TakeRetry(this->context, this->request)) {
+      std::string reason = "prefill: " + attempt.detail;
+      co_await GiveUp(this->context, this->request, std::move(reason));
+      co_return PrefillEnd::kEnded;
+    }
+  }
+}
+
+std::optional<Target>
+Completion::ChooseOutputEngine() const
+{
+  const core::ZoneId& zone =
+    this->held.has_value() ? this->held->engine.zone : this->context.ownZone;
+  return ChooseDecode(this->context.View(), this->request.service.name, zone, this->decodeTried);
+}
+
+AttemptPlan
+Completion::DecodePlan() const
+{
+  AttemptPlan plan;
+  plan.rank = this->request.route.rank;
+  plan.lastEventId = this->events.LastEventId();
+  if (this->held.has_value()) {
+    plan.step = AttemptStep::kDecode;
+    plan.handleAt = this->held->engine.address;
+    plan.handle = this->held->handle;
+  }
+  return plan;
+}
+
+bool
+Completion::MayResume()
+{
+  const bool left = static_cast<int>(this->request.attempts) < this->request.route.mostTargets;
+  return this->request.route.resumable && left && TakeRetry(this->context, this->request);
+}
+
+Task<bool>
+Completion::Forward(const Attempt& aAttempt, std::string aBytes)
+{
+  AnswerWriter& writer = this->request.writer;
+  if (aBytes.empty()) {
+    co_return true;
+  }
+  if (!writer.Begun()) {
+    this->context.metrics.firstEvent.Record(this->context.clock.Now() -
+                                            this->request.caller.arrival);
+    HeaderList headers = ForwardedAnswerHeaders(aAttempt.head.headers);
+    const bool begun = co_await writer.BeginStream(aAttempt.head.status, std::move(headers));
+    if (!begun) {
+      co_return false;
+    }
+  }
+  const bool written = co_await writer.WritePiece(std::move(aBytes));
+  co_return written;
+}
+
+Task<Completion::StreamEnd>
+Completion::Relay(AttemptCall& aCall, const Attempt& aAttempt)
+{
+  const bool wholeEvents = this->request.route.resumable && aAttempt.head.status == kOk;
+  while (true) {
+    std::string bytes;
+    const absl::StatusOr<bool> more = co_await aCall.ReadSome(bytes);
+    if (wholeEvents) {
+      bytes = this->events.Take(bytes);
+    }
+    const bool forwarded = co_await this->Forward(aAttempt, std::move(bytes));
+    if (!forwarded) {
+      this->request.cancellation.Cancel(CancelReason::kCallerLeft);
+      co_return StreamEnd::kCallerGone;
+    }
+    if (!more.ok()) {
+      co_return StreamEnd::kBroken;
+    }
+    if (!*more) {
+      co_return this->events.HasPartial() ? StreamEnd::kBroken : StreamEnd::kComplete;
+    }
+  }
+}
+
+Task<void>
+Completion::Decode()
+{
+  std::optional<Target> engine = this->ChooseOutputEngine();
+  std::string reason = "no_engine";
+  while (engine.has_value()) {
+    const bool reads = !this->held.has_value();
+    LoadScope load(this->context.loads,
+                   engine->id,
+                   { 1.0, reads ? 2.0 * static_cast<double>(this->prompt.promptTokens) : 0.0 });
+    AttemptCall call(this->context, this->request, *engine);
+    const AttemptPlan plan = this->DecodePlan();
+    Attempt attempt =
+      co_await call.Open(plan, TimeLeft(this->context, this->request) + milliseconds(1));
+    reason = "decode: " + attempt.detail;
+    const core::MonotonicTime now = this->context.clock.Now();
+    if (attempt.state == AttemptState::kNotSent) {
+      this->context.health.Record(engine->id, AttemptResult::kUnreachable, now);
+      this->decodeTried.push_back(engine->id);
+      engine =
+        this->decodeTried.size() < kMostUnreachable ? this->ChooseOutputEngine() : std::nullopt;
+      continue;
+    }
+    if (attempt.state == AttemptState::kAnswered) {
+      load.PromptRead();
+      call.Unlimit();
+      this->held.reset();
+      const StreamEnd end = co_await this->Relay(call, attempt);
+      this->context.health.Record(engine->id,
+                                  end == StreamEnd::kBroken ? AttemptResult::kFailed
+                                                            : AttemptResult::kAnswered,
+                                  now);
+      if (end == StreamEnd::kComplete) {
+        call.Finish();
+        this->context.metrics.wholeAnswer.Record(now - this->request.caller.arrival);
+        if (this->request.writer.Begun()) {
+          co_await this->request.writer.EndStream();
+        } else {
+          HeaderList headers = ForwardedAnswerHeaders(attempt.head.headers);
+          std::string empty;
+          co_await this->request.writer.WriteWhole(
+            attempt.head.status, std::move(headers), std::move(empty));
+        }
+        co_return;
+      }
+      reason = "stream broke";
+      this->events.DropPartial();
+    } else if (attempt.state == AttemptState::kNotRun) {
+      this->context.health.Record(engine->id, AttemptResult::kRefused, now);
+      // The handle may be gone; the same engine can read the prompt itself.
+      const bool hadHandle = this->held.has_value();
+      this->held.reset();
+      if (hadHandle && TakeRetry(this->context, this->request)) {
+        continue;
+      }
+    } else if (attempt.state == AttemptState::kUnknown) {
+      this->context.health.Record(engine->id, AttemptResult::kFailed, now);
+      this->held.reset();
+    }
+    this->decodeTried.push_back(engine->id);
+    engine = this->MayResume() ? this->ChooseOutputEngine() : std::nullopt;
+  }
+  this->ReleaseHandle();
+  co_await GiveUp(this->context, this->request, reason);
+}
+
+Task<void>
+Completion::Serve()
+{
+  const PrefillEnd end = co_await this->Prefill();
+  if (end == PrefillEnd::kEnded) {
+    co_return;
+  }
+  if (this->request.cancellation.Reason().has_value()) {
+    this->ReleaseHandle();
+    std::string reason = "cancelled_after_prefill";
+    co_await GiveUp(this->context, this->request, std::move(reason));
+    co_return;
+  }
+  co_await this->Decode();
+}
+
+} // namespace
+
+Task<void>
+ServeCompletion(PathContext& aContext, PathRequest& aRequest)
+{
+  Completion completion(aContext, aRequest);
+  co_await completion.Serve();
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/front_door.cpp
@@ -0,0 +1,96 @@
+#include "front_door.hpp"
+
+#include <algorithm>
+
+#include <plantainslip/core/log.hpp>
+#include <plantainslip/serving/errors.hpp>
+
+#include "caller_session.hpp"
+
+namespace plantainslip::serving {
+
+namespace {
+
+/// Pause after a failed accept, which is mostly for want of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{ 20 };
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<FrontDoor>>
+FrontDoor::Open(asio::io_context& aContext,
+                const net::Address& aAddress,
+                const core::Clock& aClock,
+                RequestHandler aHandler)
+{
+  std::unique_ptr<FrontDoor> door(new FrontDoor(aContext, aClock, std::move(aHandler)));
+  ErrorCode error;
+  const Tcp::endpoint endpoint(asio::ip::make_address_v4(aAddress.host, error), aAddress.port);
+  const auto step = [&error](auto aCall) {
+    if (!error) {
+      aCall();
+    }
+  };
+  step([&] { door->acceptor.open(Tcp::v4(), error); });
+  step([&] { door->acceptor.set_option(Tcp::acceptor::reuse_address(true), error); });
+  step([&] { door->acceptor.bind(endpoint, error); });
+  step([&] { door->acceptor.listen(asio::socket_base::max_listen_connections, error); });
+  if (error) {
+    return core::MakeError(errors::kCannotListen, aAddress.Text() + ": " + error.message());
+  }
+  asio::co_spawn(
+    aContext, [self = door.get()]() -> Task<void> { return self->Accept(); }, asio::detached);
+  return door;
+}
+
+FrontDoor::FrontDoor(asio::io_context& aContext, const core::Clock& aClock, RequestHandler aHandler)
+  : context(aContext)
+  , clock(aClock)
+  , handler(std::move(aHandler))
+  , acceptor(aContext)
+{
+}
+
+FrontDoor::~FrontDoor() = default;
+
+Task<void>
+FrontDoor::Accept()
+{
+  while (true) {
+    ErrorCode error;
+    Tcp::socket socket(this->context);
+    co_await this->acceptor.async_accept(socket, Into(error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      core::Log(core::LogLevel::kWarning, "accept failed", { { "error", error.message() } });
+      asio::steady_timer pause(this->context, kAcceptPause);
+      co_await pause.async_wait(Into(error));
+      continue;
+    }
+    const auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+    asio::co_spawn(
+      this->context, [session]() -> Task<void> { return session->Run(); }, asio::detached);
+  }
+}
+
+void
+FrontDoor::CloseIdle()
+{
+  for (CallerSession* session : this->sessions) {
+    if (!session->Busy()) {
+      session->Close();
+    }
+  }
+}
+
+std::size_t
+FrontDoor::Busy() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->sessions.begin(), this->sessions.end(), [](const CallerSession* aSession) {
+      return aSession->Busy();
+    }));
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/load_exchange.cpp
@@ -0,0 +1,157 @@
+#include "load_exchange.hpp"
+
+#include <algorithm>
+
+#include <plantainslip/core/log.hpp>
+#include <plantainslip/serving/errors.hpp>
+
+namespace plantainslip::serving {
+
+namespace {
+
+/// Shortest interval of messages: a fraction of the time in which an engine reads a long prompt.
+constexpr milliseconds kShortestInterval{ 25 };
+/// Added for each peer, which bounds what an instance receives to 250 messages a second.
+constexpr milliseconds kIntervalPerPeer{ 4 };
+/// Interval at which an unchanged state is told again; below the lifetime of a report.
+constexpr milliseconds kUnchangedInterval{ 300 };
+/// A peer that the store does not list is forgotten after this silence.
+constexpr milliseconds kUnlistedLifetime{ 3'000 };
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<LoadExchange>>
+LoadExchange::Open(asio::io_context& aContext,
+                   const PeerInstance& aSelf,
+                   PathContext& aPath,
+                   OnRevisions aOnRevisions)
+{
+  std::unique_ptr<LoadExchange> exchange(
+    new LoadExchange(aContext, aSelf, aPath, std::move(aOnRevisions)));
+  ErrorCode error;
+  const Udp::endpoint endpoint(asio::ip::make_address_v4(aSelf.address.host, error),
+                               aSelf.address.port);
+  exchange->socket.open(Udp::v4(), error);
+  if (!error) {
+    exchange->socket.bind(endpoint, error);
+  }
+  if (error) {
+    return core::MakeError(errors::kCannotListen, aSelf.address.Text() + ": " + error.message());
+  }
+  LoadExchange* const running = exchange.get();
+  asio::co_spawn(
+    aContext, [running]() -> Task<void> { return running->Receive(); }, asio::detached);
+  asio::co_spawn(
+    aContext, [running]() -> Task<void> { return running->Send(); }, asio::detached);
+  return exchange;
+}
+
+LoadExchange::LoadExchange(asio::io_context& aContext,
+                           const PeerInstance& aSelf,
+                           PathContext& aPath,
+                           OnRevisions aOnRevisions)
+  : self(aSelf)
+  , path(aPath)
+  , onRevisions(std::move(aOnRevisions))
+  , socket(aContext)
+  , timer(aContext)
+{
+}
+
+void
+LoadExchange::SetPeers(const std::vector<PeerInstance>& aPeers)
+{
+  for (auto& [id, peer] : this->peers) {
+    peer.listed = false;
+  }
+  for (const PeerInstance& listed : aPeers) {
+    ErrorCode error;
+    const auto host = asio::ip::make_address_v4(listed.address.host, error);
+    if (!error) {
+      Peer& peer = this->peers[listed.id];
+      peer.endpoint = Udp::endpoint(host, listed.address.port);
+      peer.listed = true;
+    }
+  }
+}
+
+void
+LoadExchange::Take(const PeerMessage& aMessage, const Udp::endpoint& aFrom)
+{
+  Peer& peer = this->peers[aMessage.sender];
+  const core::MonotonicTime now = this->path.clock.Now();
+  const bool restarted = peer.endpoint != aFrom || now - peer.heardAt > kUnlistedLifetime;
+  if (!restarted && aMessage.sequence <= peer.sequence) {
+    return;
+  }
+  peer.sequence = aMessage.sequence;
+  peer.heardAt = now;
+  peer.endpoint = aFrom;
+  this->path.loads.SetPeer(aMessage.sender, aMessage.loads, now);
+  const FleetSnapshot& fleet = *this->path.fleet;
+  if (aMessage.configRevision > fleet.configRevision ||
+      aMessage.targetsRevision > fleet.targetsRevision) {
+    this->onRevisions(aMessage.configRevision, aMessage.targetsRevision);
+  }
+}
+
+Task<void>
+LoadExchange::Receive()
+{
+  while (true) {
+    ErrorCode error;
+    Udp::endpoint from;
+    const std::size_t size =
+      co_await this->socket.async_receive_from(asio::buffer(this->received), from, Into(error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      // A peer without a process answers with a refusal, which says nothing about this socket.
+      continue;
+    }
+    const auto message = DecodePeerMessage(std::string_view(this->received.data(), size));
+    if (message.ok() && message->sender != this->self.id) {
+      this->Take(*message, from);
+    }
+  }
+}
+
+void
+LoadExchange::SendToAll()
+{
+  PeerMessage message;
+  message.sender = this->self.id;
+  message.sequence = ++this->sequence;
+  message.configRevision = this->path.fleet->configRevision;
+  message.targetsRevision = this->path.fleet->targetsRevision;
+  message.loads = this->path.loads.Own();
+  const std::string bytes = EncodePeerMessage(message);
+  for (const auto& [id, peer] : this->peers) {
+    ErrorCode ignored;
+    this->socket.send_to(asio::buffer(bytes), peer.endpoint, 0, ignored);
+  }
+  this->lastSent = std::move(message.loads);
+}
+
+Task<void>
+LoadExchange::Send()
+{
+  while (true) {
+    const auto interval =
+      kShortestInterval + kIntervalPerPeer * static_cast<long>(this->peers.size());
+    this->timer.expires_after(interval);
+    ErrorCode error;
+    co_await this->timer.async_wait(Into(error));
+    const core::MonotonicTime now = this->path.clock.Now();
+    std::erase_if(this->peers, [&](const auto& aEntry) {
+      return !aEntry.second.listed && now - aEntry.second.heardAt > kUnlistedLifetime;
+    });
+    if (this->path.loads.Own() != this->lastSent || now - this->sentAt >= kUnchangedInterval) {
+      this->SendToAll();
+      this->sentAt = now;
+    }
+  }
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/path_metrics.cpp
@@ -0,0 +1,29 @@
+#include "path_metrics.hpp"
+
+namespace plantainslip::serving {
+
+void
+PathMetrics::Count(const std::string& aName, const std::string& aLabel)
+{
+  const std::scoped_lock lock(this->mutex);
+  ++this->counters[aName][aLabel];
+}
+
+std::string
+PathMetrics::Format() const
+{
+  std::string text = this->firstEvent.Format("plantainslip_first_event_seconds") +
+                     this->wholeAnswer.Format("plantainslip_whole_answer_seconds") +
+                     this->prefillCall.Format("plantainslip_prefill_call_seconds");
+  const std::scoped_lock lock(this->mutex);
+  for (const auto& [name, labels] : this->counters) {
+    text.append("# TYPE plantainslip_").append(name).append(" counter\n");
+    for (const auto& [label, count] : labels) {
+      text.append("plantainslip_").append(name).append("{kind=\"").append(label).append("\"} ");
+      text.append(std::to_string(count)).append("\n");
+    }
+  }
+  return text;
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/path_metrics.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include <plantainslip/observe/latency_histogram.hpp>
+
+namespace plantainslip::serving {
+
+/// @brief Counters and distributions of the request path. Safe from any thread.
+class PathMetrics
+{
+public:
+  /// @brief Adds one to a counter. Logarithmic in the number of counters.
+  /// @param aName  name of the metric without its prefix, such as `requests_total`
+  /// @param aLabel  value of the label `kind`
+  void Count(const std::string& aName, const std::string& aLabel);
+
+  /// @brief Writes all metrics in the text format of Prometheus.
+  std::string Format() const;
+
+  observe::LatencyHistogram firstEvent;
+  observe::LatencyHistogram wholeAnswer;
+  observe::LatencyHistogram prefillCall;
+
+private:
+  mutable std::mutex mutex;
+  std::map<std::string, std::map<std::string, std::uint64_t>> counters;
+};
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/peer_message.cpp
@@ -0,0 +1,62 @@
+#include <plantainslip/serving/peer_message.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <plantainslip/serving/errors.hpp>
+
+namespace plantainslip::serving {
+
+namespace {
+
+using nlohmann::json;
+
+} // namespace
+
+std::string
+EncodePeerMessage(const PeerMessage& aMessage)
+{
+  json loads = json::array();
+  for (const auto& [target, load] : aMessage.loads) {
+    loads.push_back(json::array({ target.Text(),
+                                  static_cast<std::uint64_t>(load.requests),
+                                  static_cast<std::uint64_t>(load.prefillTokens) }));
+  }
+  const json message = json::array({ aMessage.sender.Text(),
+                                     aMessage.sequence,
+                                     aMessage.configRevision.Number(),
+                                     aMessage.targetsRevision.Number(),
+                                     std::move(loads) });
+  std::string bytes;
+  json::to_cbor(message, bytes);
+  return bytes;
+}
+
+absl::StatusOr<PeerMessage>
+DecodePeerMessage(std::string_view aBytes)
+{
+  const auto bad = [] { return core::MakeError(errors::kBadAnswer, "peer message"); };
+  const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+  constexpr std::size_t kFields = 5;
+  if (!message.is_array() || message.size() != kFields || !message[0].is_string() ||
+      !message[1].is_number_unsigned() || !message[2].is_number_unsigned() ||
+      !message[3].is_number_unsigned() || !message[4].is_array()) {
+    return bad();
+  }
+  PeerMessage read;
+  read.sender = core::InstanceId(message[0].get<std::string>());
+  read.sequence = message[1].get<std::uint64_t>();
+  read.configRevision = core::Revision(message[2].get<std::uint64_t>());
+  read.targetsRevision = core::Revision(message[3].get<std::uint64_t>());
+  for (const json& entry : message[4]) {
+    constexpr std::size_t kLoadFields = 3;
+    if (!entry.is_array() || entry.size() != kLoadFields || !entry[0].is_string() ||
+        !entry[1].is_number_unsigned() || !entry[2].is_number_unsigned()) {
+      return bad();
+    }
+    read.loads[core::TargetId(entry[0].get<std::string>())] =
+      TargetLoad{ entry[1].get<double>(), entry[2].get<double>() };
+  }
+  return read;
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/prefill_model.cpp
@@ -0,0 +1,53 @@
+#include <plantainslip/serving/prefill_model.hpp>
+
+#include <algorithm>
+
+namespace plantainslip::serving {
+
+milliseconds
+PrefillModel::Duration(const core::TargetId& aTarget, double aTokens) const
+{
+  const auto found = this->rates.find(aTarget);
+  const double rate = found == this->rates.end() ? kFirstRate : found->second;
+  return milliseconds(static_cast<std::int64_t>(aTokens / rate));
+}
+
+void
+PrefillModel::Learn(const core::TargetId& aTarget, double aTokens, milliseconds aTook)
+{
+  // Calls that queued for nothing say little of the rate.
+  constexpr double kFewestTokens = 1'000.0;
+  if (aTokens < kFewestTokens) {
+    return;
+  }
+  constexpr double kSlowestRate = 10.0;
+  constexpr double kFastestRate = 400.0;
+  const double reading = std::max(1.0, static_cast<double>((aTook - kOverhead).count()));
+  const double sample = std::clamp(aTokens / reading, kSlowestRate, kFastestRate);
+  const auto entry = this->rates.try_emplace(aTarget, kFirstRate).first;
+  entry->second += kNewestWeight * (sample - entry->second);
+}
+
+std::uint64_t
+SharedTokens(const PromptFacts& aPrompt)
+{
+  std::uint64_t tokens = 0;
+  for (std::size_t index = 0; index + 1 < aPrompt.parts.size(); ++index) {
+    tokens += aPrompt.parts[index].tokens;
+  }
+  return std::min(tokens, aPrompt.promptTokens);
+}
+
+std::uint64_t
+OwnTokens(const PromptFacts& aPrompt)
+{
+  return aPrompt.promptTokens - SharedTokens(aPrompt);
+}
+
+std::uint64_t
+SharedKey(const PromptFacts& aPrompt)
+{
+  return aPrompt.parts.size() < 2 ? 0 : aPrompt.parts[aPrompt.parts.size() - 2].id;
+}
+
+} // namespace plantainslip::serving
--- /dev/null
+++ b/src/serving/simple_call.cpp
@@ -0,0 +1,75 @@
+#include "simple_call.hpp"
+
+#include <plantainslip/serving/errors.hpp>
+
+#include "http_head.hpp"
+
+namespace plantainslip::serving {
+
+namespace {
+
+constexpr std::size_t kMostBodyBytes = 4'194'304;
+constexpr std::chrono::milliseconds kLongestIdle{ 20'000 };
+
+struct Exchange
+{
+  absl::StatusOr<SimpleAnswer> answer;
+  bool reused = false;
+};
+
+Task<Exchange>
+Attempt(ConnectionPool& aPool, const SimpleRequest& aRequest, bool aFresh, Cancellation& aCancel)
+{
+  const auto idle = aFresh ? std::chrono::milliseconds(-1) : kLongestIdle;
+  auto connection = co_await aPool.Take(aRequest.address, idle, aCancel);
+  if (!connection.ok()) {
+    co_return Exchange{ connection.status(), false };
+  }
+  const bool reused = (*connection)->reused;
+  TargetCall call(std::move(*connection), "", "", aCancel);
+  HeaderList headers;
+  headers.push_back({ "Host", aRequest.address.Text() });
+  headers.insert(headers.end(), aRequest.headers.begin(), aRequest.headers.end());
+  if (!aRequest.body.empty()) {
+    headers.push_back({ "Content-Type", "application/json" });
+  }
+  std::string requestHead =
+    FormatRequestHead(aRequest.method, aRequest.path, headers, aRequest.body.size());
+  const absl::Status sent = co_await call.Send(std::move(requestHead), aRequest.body);
+  if (!sent.ok()) {
+    co_return Exchange{ sent, reused };
+  }
+  const auto head = co_await call.ReadHead(false);
+  if (!head.ok()) {
+    co_return Exchange{ head.status(), reused };
+  }
+  auto body = co_await call.ReadAll(kMostBodyBytes);
+  if (!body.ok()) {
+    co_return Exchange{ body.status(), reused };
+  }
+  call.Recycle(aPool, aRequest.address);
+  co_return Exchange{ SimpleAnswer{ head->status, std::move(*body) }, reused };
+}
+
+} // namespace
+
+Task<absl::StatusOr<SimpleAnswer>>
+CallOnce(ConnectionPool& aPool, SimpleRequest aRequest)
+{
+  Cancellation cancellation;
+  const TimeLimit limit(co_await asio::this_coro::executor, aRequest.timeout, [&cancellation] {
+    cancellation.Cancel(CancelReason::kDeadline);
+  });
+  Exchange exchange = co_await Attempt(aPool, aRequest, false, cancellation);
+  const bool dead = !exchange.answer.ok() && exchange.reused && !cancellation.Reason().has_value();
+  if (dead && aRequest.idempotent) {
+    exchange = co_await Attempt(aPool, aRequest, true, cancellation);
+  }
+  if (!exchange.answer.ok() && cancellation.Reason().has_value()) {
+    aPool.Forget(aRequest.address);
+    co_return core::MakeError(errors::kTimedOut, aRequest.address.Text() + aRequest.path);
+  }
+  co_return std::move(exchange.answer);
+}
+
+} // namespace plantainslip::serving
