Log where a completion's time goes: prefill, expected wait, first piece

Each piece holds ten tokens at about 8 ms: the batches of three decoding engines are too full. Prefill takes 125 ms at the median where reading takes 17: an engine answers about 50 ms after it has read, and the wait counts prompts that a more urgent one overtakes.

--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -163,6 +163,9 @@
     const auto limit = place->wait + place->reading * kPrefillPatience + kPrefillSlack;
     Attempt attempt = co_await call.Open(plan, limit);
     const auto took = std::chrono::duration_cast<milliseconds>(this->context.clock.Now() - started);
+    this->request.prefillTook = took;
+    this->request.prefillWait = place->wait;
+    this->request.prefillReading = place->reading;
     this->RecordPrefill(*place, attempt, took, queued);
     if (attempt.state == AttemptState::kAnswered && attempt.head.status == kOk) {
       const auto body = co_await call.ReadAll();
@@ -235,14 +238,17 @@
     co_return true;
   }
   if (!writer.Begun()) {
-    this->context.metrics.firstEvent.Record(this->context.clock.Now() -
-                                            this->request.caller.arrival);
+    const auto first = this->context.clock.Now() - this->request.caller.arrival;
+    this->request.firstPiece = std::chrono::duration_cast<milliseconds>(first);
+    this->context.metrics.firstEvent.Record(first);
     HeaderList headers = ForwardedAnswerHeaders(aAttempt.head.headers);
     const bool begun = co_await writer.BeginStream(aAttempt.head.status, std::move(headers));
     if (!begun) {
       co_return false;
     }
   }
+  ++this->request.pieces;
+  this->request.lastPieceAt = this->context.clock.Now();
   const bool written = co_await writer.WritePiece(std::move(aBytes));
   co_return written;
 }
@@ -298,6 +304,7 @@
       load.PromptRead();
       call.Unlimit();
       this->held.reset();
+      reason = "answered";
       const StreamEnd end = co_await this->Relay(call, attempt);
       this->context.health.Record(engine->id,
                                   end == StreamEnd::kBroken ? AttemptResult::kFailed
@@ -305,6 +312,7 @@
                                   now);
       if (end == StreamEnd::kComplete) {
         call.Finish();
+        LogEnd(this->context, this->request, attempt.head.status, reason);
         this->context.metrics.wholeAnswer.Record(now - this->request.caller.arrival);
         if (this->request.writer.Begun()) {
           co_await this->request.writer.EndStream();
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -108,6 +108,15 @@
   bool mayHaveRun = false;
   /// @brief Number of sendings so far.
   std::uint64_t attempts = 0;
+  /// @brief Time of the prefill call, and the wait and reading that placement expected of it.
+  milliseconds prefillTook{ 0 };
+  milliseconds prefillWait{ 0 };
+  milliseconds prefillReading{ 0 };
+  /// @brief From the request's arrival to the first piece of its answer.
+  milliseconds firstPiece{ 0 };
+  /// @brief Pieces of a stream that were passed on, and when the last one was.
+  std::uint64_t pieces = 0;
+  core::MonotonicTime lastPieceAt = {};
 };
 
 /// @brief Counts work at a target as long as the scope lives.
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -53,29 +53,6 @@
   }
 }
 
-void
-LogEnd(const PathContext& aContext,
-       const PathRequest& aRequest,
-       int aStatus,
-       const std::string& aReason)
-{
-  const auto took =
-    std::chrono::duration_cast<milliseconds>(aContext.clock.Now() - aRequest.caller.arrival);
-  core::Log(
-    core::LogLevel::kInfo,
-    "request ended",
-    { { "request", aRequest.facts.id.Text() },
-      { "route", aRequest.route.name },
-      { "status", std::to_string(aStatus) },
-      { "reason", aReason },
-      { "attempts", std::to_string(aRequest.attempts) },
-      { "target", aRequest.sentTo.empty() ? "" : aRequest.sentTo.back().Text() },
-      { "took_ms", std::to_string(took.count()) },
-      { "config",
-        std::to_string(
-          aContext.fleet->config == nullptr ? 0 : aContext.fleet->config->version.Number()) } });
-}
-
 Task<void>
 RefuseUnrouted(PathContext& aContext, const CallerRequest& aRequest, AnswerWriter& aWriter)
 {
@@ -109,6 +86,42 @@
 
 } // namespace
 
+void
+LogEnd(const PathContext& aContext,
+       const PathRequest& aRequest,
+       int aStatus,
+       const std::string& aReason)
+{
+  const auto took =
+    std::chrono::duration_cast<milliseconds>(aContext.clock.Now() - aRequest.caller.arrival);
+  const auto lastPiece =
+    aRequest.pieces == 0 ? milliseconds(0)
+                         : std::chrono::duration_cast<milliseconds>(aRequest.lastPieceAt -
+                                                                    aRequest.caller.arrival);
+  core::Log(
+    core::LogLevel::kInfo,
+    "request ended",
+    { { "request", aRequest.facts.id.Text() },
+      { "route", aRequest.route.name },
+      { "status", std::to_string(aStatus) },
+      { "reason", aReason },
+      { "attempts", std::to_string(aRequest.attempts) },
+      { "target", aRequest.sentTo.empty() ? "" : aRequest.sentTo.back().Text() },
+      { "took_ms", std::to_string(took.count()) },
+      { "prefill_ms", std::to_string(aRequest.prefillTook.count()) },
+      { "expected_wait_ms", std::to_string(aRequest.prefillWait.count()) },
+      { "expected_reading_ms", std::to_string(aRequest.prefillReading.count()) },
+      { "first_piece_ms", std::to_string(aRequest.firstPiece.count()) },
+      { "prompt_tokens",
+        std::to_string(aRequest.facts.prompt.has_value() ? aRequest.facts.prompt->promptTokens
+                                                         : 0) },
+      { "pieces", std::to_string(aRequest.pieces) },
+      { "last_piece_ms", std::to_string(lastPiece.count()) },
+      { "config",
+        std::to_string(
+          aContext.fleet->config == nullptr ? 0 : aContext.fleet->config->version.Number()) } });
+}
+
 Task<void>
 Refuse(PathContext& aContext,
        PathRequest& aRequest,
--- a/src/serving/request_path.hpp
+++ b/src/serving/request_path.hpp
@@ -26,6 +26,14 @@
        std::string aReason,
        milliseconds aReturn);
 
+/// @brief Logs the end of a request with what decided it.
+/// @param aStatus  status that the caller got; zero if none
+void
+LogEnd(const PathContext& aContext,
+       const PathRequest& aRequest,
+       int aStatus,
+       const std::string& aReason);
+
 /// @brief Ends a request whose attempts have failed, as truthfully as is known: 503 if it has not
 ///        run, else 502 or 504.
 Task<void>
