--- a/include/plantainslip/serving/admission_rule.hpp
+++ b/include/plantainslip/serving/admission_rule.hpp
@@ -8,9 +8,9 @@
 
 /// @brief Decides whether a completion is refused at once, and when the caller may come back.
 ///
-/// Answers bursts over the capacity: a prompt that would wait so long that its caller is served
-/// late, or leaves, makes no room for one that can still be on time. What counts is the wait alone,
-/// so that a long prompt is not refused for its own length.
+/// Answers bursts over the capacity: a prompt whose caller would leave before the first event is
+/// refused, since its reading would be in vain. One that is only late is served: a caller that is
+/// sent away and comes back is later still, and late prompts yield to those that can be on time.
 /// @param aPlace  the best place that there is
 /// @param aElapsed  time since the caller sent the request
 /// @return the wait to tell the caller, or nothing if the request is admitted; constant time
--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -30,7 +30,7 @@
   Target target;
   /// @brief Engine that holds the shared parts, if it is another one.
   std::optional<net::Address> fetchFrom;
-  /// @brief Time until the engine begins with this prompt.
+  /// @brief Time until the engine has read what comes before this prompt.
   milliseconds wait{ 0 };
   /// @brief Time that the engine needs for this prompt.
   milliseconds reading{ 0 };
--- a/include/plantainslip/serving/stage_plan.hpp
+++ b/include/plantainslip/serving/stage_plan.hpp
@@ -25,7 +25,7 @@
 /// @brief Plans the changes that bring each zone's engines to the goal.
 ///
 /// Answers a fleet that starts far from the mix that its load needs, and engines that leave.
-/// Engines that leave count for nothing. At most half of a zone's engines change at a time.
+/// Engines that leave count for nothing. One engine of a zone at least stays at work.
 /// @return the changes, in the order of the targets; linear in the number of targets
 std::vector<StageChange>
 PlanStages(const FleetSnapshot& aFleet, const core::ServiceName& aService, const StageGoal& aGoal);
--- a/src/serving/admission_rule.cpp
+++ b/src/serving/admission_rule.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-/// Part of the objective that may be spent waiting; what is left covers reading and the transfer.
-constexpr double kWaitShare = 0.9;
+/// Callers leave a stream after a gap of the longest of these.
+constexpr milliseconds kShortestPatience{ 2'000 };
+constexpr int kPatienceObjectives = 4;
+constexpr int kPatienceGaps = 8;
+/// Left of a caller's patience for errors of the estimate.
+constexpr double kPatienceShare = 0.7;
 /// Shortest and longest wait told to callers: one batch, and the time in which a burst passes.
 constexpr milliseconds kShortestReturn{ 150 };
 constexpr milliseconds kLongestReturn{ 2'000 };
@@ -17,9 +21,11 @@
 std::optional<milliseconds>
 DecideRefusal(const Route& aRoute, const PrefillPlace& aPlace, milliseconds aElapsed)
 {
-  const auto objective = static_cast<double>(aRoute.objective.count());
-  const auto most = milliseconds(static_cast<std::int64_t>(objective * kWaitShare));
-  if (aPlace.wait + aElapsed <= most) {
+  const milliseconds patience = std::max(
+    { kShortestPatience, aRoute.objective * kPatienceObjectives, aRoute.eventGap * kPatienceGaps });
+  const auto most =
+    milliseconds(static_cast<std::int64_t>(static_cast<double>(patience.count()) * kPatienceShare));
+  if (aPlace.wait + aPlace.reading + aElapsed <= most) {
     return std::nullopt;
   }
   return std::clamp(aPlace.wait, kShortestReturn, kLongestReturn);
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -19,6 +19,8 @@
 /// A prefill that takes this many times its estimate and this long besides will not come.
 constexpr int kPrefillPatience = 3;
 constexpr milliseconds kPrefillSlack{ 800 };
+/// Callers wait this long for a first event; an engine that only is busy is not given up before.
+constexpr milliseconds kShortestPrefillLimit{ 2'000 };
 constexpr milliseconds kReleaseTimeout{ 500 };
 constexpr std::size_t kMostUnreachable = 4;
 
@@ -156,16 +158,17 @@
       co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), *wait);
       co_return PrefillEnd::kEnded;
     }
-    const double queued = this->context.loads.Total(place->target.id, started).TokensBefore(place->priority);
-    const LoadScope load(this->context.loads,
-                         place->target.id,
-                         PromptLoad(place->priority, place->tokens));
+    const double queued =
+      this->context.loads.Total(place->target.id, started).TokensBefore(place->priority);
+    const LoadScope load(
+      this->context.loads, place->target.id, PromptLoad(place->priority, place->tokens));
     AttemptCall call(this->context, this->request, place->target);
     AttemptPlan plan;
     plan.step = AttemptStep::kPrefill;
     plan.priority = place->priority;
     plan.fetchFrom = place->fetchFrom;
-    const auto limit = place->wait + place->reading * kPrefillPatience + kPrefillSlack;
+    const auto limit = std::max(kShortestPrefillLimit,
+                                place->wait + place->reading * kPrefillPatience + kPrefillSlack);
     Attempt attempt = co_await call.Open(plan, limit);
     const auto took = std::chrono::duration_cast<milliseconds>(this->context.clock.Now() - started);
     this->request.prefillTook = took;
@@ -289,9 +292,10 @@
   std::string reason = "no_engine";
   while (engine.has_value()) {
     const bool reads = !this->held.has_value();
-    LoadScope load(this->context.loads,
-                   engine->id,
-                   PromptLoad(0, reads ? 2.0 * static_cast<double>(this->prompt.promptTokens) : 0.0));
+    LoadScope load(
+      this->context.loads,
+      engine->id,
+      PromptLoad(0, reads ? 2.0 * static_cast<double>(this->prompt.promptTokens) : 0.0));
     AttemptCall call(this->context, this->request, *engine);
     const AttemptPlan plan = this->DecodePlan();
     Attempt attempt =
--- a/src/serving/load_book.cpp
+++ b/src/serving/load_book.cpp
@@ -24,7 +24,8 @@
   TargetLoad& load = found->second;
   load.requests = std::max(0.0, load.requests - aLoad.requests);
   for (std::size_t level = 0; level < kPriorityLevels; ++level) {
-    load.prefillTokens[level] = std::max(0.0, load.prefillTokens[level] - aLoad.prefillTokens[level]);
+    load.prefillTokens[level] =
+      std::max(0.0, load.prefillTokens[level] - aLoad.prefillTokens[level]);
   }
   if (load == TargetLoad{}) {
     this->own.erase(found);
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -21,9 +21,8 @@
     for (const double count : load.prefillTokens) {
       tokens.push_back(static_cast<std::uint64_t>(count));
     }
-    loads.push_back(json::array({ target.Text(),
-                                  static_cast<std::uint64_t>(load.requests),
-                                  std::move(tokens) }));
+    loads.push_back(
+      json::array({ target.Text(), static_cast<std::uint64_t>(load.requests), std::move(tokens) }));
   }
   const json message = json::array({ aMessage.sender.Text(),
                                      aMessage.sequence,
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -17,7 +17,7 @@
 constexpr double kSecondHomeMs = 20.0;
 constexpr double kNoHomeMs = 70.0;
 /// Time from the end of reading to the first event at the caller.
-constexpr milliseconds kAfterReading{ 75 };
+constexpr milliseconds kAfterReading{ 95 };
 /// Load that a target's failures count as: a target that fails every time looks this much busier.
 constexpr double kFailureRequests = 12.0;
 /// Part of a request that the other zone's round trip counts as for plain services.
@@ -112,28 +112,34 @@
   const auto priorityAt = [&](const core::TargetId& aTarget) {
     return PromptPriority(aSlack - kAfterReading - aView.prefill.Duration(aTarget, tokens));
   };
-  const auto wait = [&](const Target& aTarget) {
+  const auto waitAt = [&](const Target& aTarget, std::size_t aPriority) {
     const TargetLoad load = aView.loads.Total(aTarget.id, aView.now);
-    return aView.prefill.Duration(aTarget.id, load.TokensBefore(priorityAt(aTarget.id)));
+    return aView.prefill.Duration(aTarget.id, load.TokensBefore(aPriority));
   };
+  const auto wait = [&](const Target& aTarget) { return waitAt(aTarget, priorityAt(aTarget.id)); };
   const Target* const best = Cheapest(candidates, [&](const Target& aTarget) {
     const auto work = wait(aTarget) + aView.prefill.Duration(aTarget.id, tokens);
     const double failing = aView.health.FailureRate(aTarget.id) * kFailureRequests * kSecondHomeMs;
     return static_cast<double>(work.count()) + failing +
-           (aTarget.zone == aView.ownZone ? 0.0 : kOtherZoneMs) +
-           HomeCost(homes, aTarget);
+           (aTarget.zone == aView.ownZone ? 0.0 : kOtherZoneMs) + HomeCost(homes, aTarget);
   });
   if (best == nullptr) {
     return std::nullopt;
   }
   PrefillPlace place;
   place.target = *best;
-  if (homes.first != nullptr && homes.first != best) {
-    place.fetchFrom = homes.first->address;
+  const Target* const other = best == homes.first ? homes.second : homes.first;
+  if (other != nullptr) {
+    place.fetchFrom = other->address;
   }
   place.priority = priorityAt(best->id);
   place.wait = wait(*best);
   place.reading = aView.prefill.Duration(best->id, tokens);
+  if (place.wait + place.reading + kAfterReading > aSlack) {
+    // Late whatever happens: it must not delay what can still be on time.
+    place.priority = kPriorityLevels - 1;
+    place.wait = waitAt(*best, place.priority);
+  }
   place.tokens = tokens;
   return place;
 }
@@ -151,8 +157,7 @@
     const TargetLoad load = aView.loads.Total(aTarget.id, aView.now);
     const double busy =
       load.requests / static_cast<double>(std::max<std::uint64_t>(1, aTarget.slots));
-    const auto reading =
-      aView.prefill.Duration(aTarget.id, load.TokensBefore(kPriorityLevels - 1));
+    const auto reading = aView.prefill.Duration(aTarget.id, load.TokensBefore(kPriorityLevels - 1));
     const double failing = aView.health.FailureRate(aTarget.id);
     constexpr double kFullBatchMs = 150.0;
     return (busy + failing) * kFullBatchMs + static_cast<double>(reading.count()) +
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -95,9 +95,9 @@
   const auto took =
     std::chrono::duration_cast<milliseconds>(aContext.clock.Now() - aRequest.caller.arrival);
   const auto lastPiece =
-    aRequest.pieces == 0 ? milliseconds(0)
-                         : std::chrono::duration_cast<milliseconds>(aRequest.lastPieceAt -
-                                                                    aRequest.caller.arrival);
+    aRequest.pieces == 0
+      ? milliseconds(0)
+      : std::chrono::duration_cast<milliseconds>(aRequest.lastPieceAt - aRequest.caller.arrival);
   core::Log(
     core::LogLevel::kInfo,
     "request ended",
--- a/src/serving/stage_plan.cpp
+++ b/src/serving/stage_plan.cpp
@@ -30,7 +30,7 @@
   const EngineStage from = tooMany ? EngineStage::kDecode : EngineStage::kPrefill;
   const EngineStage to = tooMany ? EngineStage::kPrefill : EngineStage::kDecode;
   std::vector<StageChange> changes;
-  const std::size_t most = std::min(away, std::max<std::size_t>(1, count / 2));
+  const std::size_t most = std::min(away, count - 1);
   for (const Target* engine : aEngines) {
     if (changes.size() < most && engine->stage == from) {
       changes.push_back({ *engine, to });
