--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -2,6 +2,7 @@
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/admission_rule.hpp>
+#include <plantainslip/serving/dispatch_rule.hpp>
 #include <plantainslip/serving/event_stream.hpp>
 
 #include "attempt.hpp"
@@ -22,6 +23,8 @@
 /// Callers wait this long for a first event; an engine that only is busy is not given up before.
 constexpr milliseconds kShortestPrefillLimit{ 2'000 };
 constexpr milliseconds kReleaseTimeout{ 500 };
+/// Interval at which a prompt that is kept back is placed anew; below a chunk's time.
+constexpr milliseconds kRecheckInterval{ 12 };
 constexpr std::size_t kMostUnreachable = 4;
 
 /// @brief Where the cache of a prompt lies.
@@ -158,8 +161,17 @@
       co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), *wait);
       co_return PrefillEnd::kEnded;
     }
-    const double queued =
-      this->context.loads.Total(place->target.id, started).TokensBefore(place->priority);
+    const TargetLoad engineLoad = this->context.loads.Total(place->target.id, started);
+    if (!SendsNow(engineLoad.TokensBefore(kPriorityLevels - 1), place->priority)) {
+      co_await Pause(kRecheckInterval, this->request.cancellation);
+      if (this->request.cancellation.Reason().has_value()) {
+        std::string reason = "cancelled_in_queue";
+        co_await GiveUp(this->context, this->request, std::move(reason));
+        co_return PrefillEnd::kEnded;
+      }
+      continue;
+    }
+    const double queued = engineLoad.TokensBefore(place->priority);
     const LoadScope load(
       this->context.loads, place->target.id, PromptLoad(place->priority, place->tokens));
     AttemptCall call(this->context, this->request, place->target);
@@ -172,6 +184,9 @@
     Attempt attempt = co_await call.Open(plan, limit);
     const auto took = std::chrono::duration_cast<milliseconds>(this->context.clock.Now() - started);
     this->request.prefillTook = took;
+    this->request.prefillEngine = place->target.id;
+    this->request.prefillPriority = place->priority;
+    this->request.engineTokens = engineLoad.TokensBefore(kPriorityLevels - 1);
     this->request.prefillWait = place->wait;
     this->request.prefillReading = place->reading;
     this->RecordPrefill(*place, attempt, took, queued);
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -219,6 +219,7 @@
     changes.push_back(std::move(change));
   }
   const core::MonotonicTime now = this->clock.Now();
+  const std::size_t before = this->directory.Targets().size();
   bool changed = false;
   if (aAll) {
     changed = this->directory.ApplyAll(changes, aItems.upTo, now);
@@ -227,7 +228,14 @@
       changed = this->directory.Apply(change, now) || changed;
     }
   }
+  if (this->directory.Targets().size() != before) {
+    this->membersChangedAt = now;
+  }
   if (changed) {
+    core::Log(core::LogLevel::kInfo,
+              "targets changed",
+              { { "targets", std::to_string(this->directory.Targets().size()) },
+                { "revision", std::to_string(this->targetsRevision.Number()) } });
     this->PublishNews();
   }
 }
@@ -255,7 +263,7 @@
   news.fleet = std::move(fleet);
   news.confirmedAt = this->confirmedAt;
   news.peers = this->peers;
-  for (const auto& [id, until] : this->ordered) {
+  for (const auto& [id, change] : this->ordered) {
     news.changing.push_back(id);
   }
   this->publish(std::move(news));
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -96,6 +96,8 @@
   Task<void> HoldLease();
   Task<void> GiveOrders();
   Task<void> GiveOrder(StageChange aChange);
+  void ForgetEndedOrders();
+  FleetSnapshot ExpectedFleet() const;
   void StandDown(const std::string& aReason);
   bool LeaseIsSafe() const;
   void ApplyConfig(const StoreItems& aItems, bool aAll);
@@ -134,7 +136,14 @@
   };
   std::optional<Leadership> leadership;
   /// @brief Engines under order, and when to look at them again.
-  std::map<core::TargetId, core::MonotonicTime> ordered;
+  struct OrderedChange
+  {
+    EngineStage stage = EngineStage::kNone;
+    core::MonotonicTime lookAgainAt;
+  };
+  std::map<core::TargetId, OrderedChange> ordered;
+  /// @brief When a target last came or went.
+  core::MonotonicTime membersChangedAt;
 };
 
 } // namespace plantainslip::serving
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds kOrderTimeout{ 600 };
 /// An order without an answer may be carried out this much later; until then it is not repeated.
 constexpr milliseconds kLateOrder{ 13'000 };
+/// Targets come one after another at a start; a plan made in between would be undone.
+constexpr milliseconds kSettledAfter{ 1'500 };
 /// Time beside the engine's own in which the directory shows a change.
 constexpr milliseconds kDirectoryLag{ 2'500 };
 constexpr int kDone = 200;
@@ -120,21 +122,41 @@
   }
 }
 
-Task<void>
-Control::GiveOrders()
+void
+Control::ForgetEndedOrders()
 {
   const core::MonotonicTime now = this->clock.Now();
   const auto ended = std::erase_if(this->ordered, [&](const auto& aEntry) {
-    return now >= aEntry.second || !this->directory.Targets().contains(aEntry.first);
+    const auto found = this->directory.Targets().find(aEntry.first);
+    return found == this->directory.Targets().end() || now >= aEntry.second.lookAgainAt ||
+           found->second.stage == aEntry.second.stage;
   });
   if (ended > 0) {
     this->PublishNews();
   }
-  if (this->config == nullptr || !this->ordered.empty()) {
-    co_return;
-  }
+}
+
+FleetSnapshot
+Control::ExpectedFleet() const
+{
   FleetSnapshot fleet;
   fleet.targets = this->directory.Targets();
+  for (const auto& [id, change] : this->ordered) {
+    if (const auto found = fleet.targets.find(id); found != fleet.targets.end()) {
+      found->second.stage = change.stage;
+    }
+  }
+  return fleet;
+}
+
+Task<void>
+Control::GiveOrders()
+{
+  this->ForgetEndedOrders();
+  if (this->config == nullptr || this->clock.Now() - this->membersChangedAt < kSettledAfter) {
+    co_return;
+  }
+  const FleetSnapshot fleet = this->ExpectedFleet();
   const auto current = this->config;
   for (const auto& [name, service] : current->services) {
     if (!service.engine.has_value()) {
@@ -144,8 +166,9 @@
       if (!this->LeaseIsSafe()) {
         co_return;
       }
-      this->ordered[change.target.id] =
-        this->clock.Now() + service.engine->stageChange + kDirectoryLag;
+      this->ordered[change.target.id] = {
+        change.stage, this->clock.Now() + service.engine->stageChange + kDirectoryLag
+      };
       this->PublishNews();
       co_await this->GiveOrder(change);
     }
@@ -181,11 +204,11 @@
       { "answer",
         answer.ok() ? std::to_string(answer->status) : std::string(answer.status().message()) } });
   if (!answer.ok()) {
-    this->ordered[aChange.target.id] = this->clock.Now() + kLateOrder;
+    this->ordered[aChange.target.id].lookAgainAt = this->clock.Now() + kLateOrder;
   } else if (answer->status == kFenced) {
     this->StandDown("a newer token was used");
   } else if (answer->status != kAccepted && answer->status != kDone) {
-    this->ordered[aChange.target.id] = this->clock.Now() + kDirectoryLag;
+    this->ordered[aChange.target.id].lookAgainAt = this->clock.Now() + kDirectoryLag;
   }
 }
 
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -123,6 +123,10 @@
   milliseconds prefillTook{ 0 };
   milliseconds prefillWait{ 0 };
   milliseconds prefillReading{ 0 };
+  /// @brief Engine of the last prefill, the prompt's priority, and what the engine had to read.
+  core::TargetId prefillEngine = {};
+  std::size_t prefillPriority = 0;
+  double engineTokens = 0.0;
   /// @brief From the request's arrival to the first piece of its answer.
   milliseconds firstPiece{ 0 };
   /// @brief Pieces of a stream that were passed on, and when the last one was.
