--- a/include/plantainslip/serving/stage_plan.hpp
+++ b/include/plantainslip/serving/stage_plan.hpp
@@ -22,6 +22,14 @@
   std::size_t tolerated = 0;
 };
 
+/// @brief Gives the goal for a service before its demand is known.
+///
+/// Answers engines of very different batch sizes: those that decode must hold the streams of all
+/// engines with room to spare, since a full batch makes each token slow and long answers late.
+/// @param aSlots  requests that one engine works on at once
+StageGoal
+StartingGoal(std::uint64_t aSlots);
+
 /// @brief Plans the changes that bring each zone's engines to the goal.
 ///
 /// Answers a fleet that starts far from the mix that its load needs, and engines that leave.
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -41,7 +41,6 @@
   PeerInstance self;
   /// @brief Lease of the right to give orders.
   milliseconds leaseDuration{ 3'000 };
-  StageGoal stageGoal;
 };
 
 /// @brief Follows the store, keeps the instance's entry there, and gives orders if it holds the
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -162,7 +162,7 @@
     if (!service.engine.has_value()) {
       continue;
     }
-    for (const StageChange& change : PlanStages(fleet, name, this->options.stageGoal)) {
+    for (const StageChange& change : PlanStages(fleet, name, StartingGoal(service.engine->slots))) {
       if (!this->LeaseIsSafe()) {
         co_return;
       }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -14,8 +14,9 @@
 /// Cost of leaving the zone: the round trip and the price of the bytes, as a delay.
 constexpr double kOtherZoneMs = 8.0;
 /// Cost of leaving a part's home: the transfer and its price, as a delay.
-constexpr double kSecondHomeMs = 20.0;
-constexpr double kNoHomeMs = 70.0;
+constexpr double kFailureMs = 25.0;
+constexpr double kSecondHomeMs = 60.0;
+constexpr double kNoHomeMs = 160.0;
 /// Time from the end of reading to the first event at the caller.
 constexpr milliseconds kAfterReading{ 95 };
 /// Load that a target's failures count as: a target that fails every time looks this much busier.
@@ -119,7 +120,7 @@
   const auto wait = [&](const Target& aTarget) { return waitAt(aTarget, priorityAt(aTarget.id)); };
   const Target* const best = Cheapest(candidates, [&](const Target& aTarget) {
     const auto work = wait(aTarget) + aView.prefill.Duration(aTarget.id, tokens);
-    const double failing = aView.health.FailureRate(aTarget.id) * kFailureRequests * kSecondHomeMs;
+    const double failing = aView.health.FailureRate(aTarget.id) * kFailureRequests * kFailureMs;
     return static_cast<double>(work.count()) + failing +
            (aTarget.zone == aView.ownZone ? 0.0 : kOtherZoneMs) + HomeCost(homes, aTarget);
   });
