--- a/src/serving/dispatch_rule.cpp
+++ b/src/serving/dispatch_rule.cpp
@@ -5,9 +5,9 @@
 namespace {
 
 /// Tokens that keep an engine busy until the other instances have learnt of its load: a few chunks.
-constexpr double kEnoughTokens = 8'000.0;
+constexpr double kEnoughTokens = 4'000.0;
 /// More for each level of urgency: an urgent prompt waits at an engine rather than here.
-constexpr double kTokensPerLevel = 4'000.0;
+constexpr double kTokensPerLevel = 2'000.0;
 /// From this level on nothing is kept back.
 constexpr std::size_t kAlwaysSent = 3;
 
