--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -210,6 +210,7 @@
             "stopping",
             { { "open_requests", std::to_string(this->callers->Busy()) } });
   const core::MonotonicTime last = begun + this->settings.stopGrace - kStopMargin;
+  this->path.stopping = serving::PathContext::Stopping{ begun, last };
   while (this->clock.Now() < last) {
     asio::steady_timer timer(this->traffic, kStopCheck);
     ErrorCode ignored;
--- a/include/plantainslip/serving/admission_rule.hpp
+++ b/include/plantainslip/serving/admission_rule.hpp
@@ -17,4 +17,14 @@
 std::optional<milliseconds>
 DecideRefusal(const Route& aRoute, const PrefillPlace& aPlace, milliseconds aElapsed);
 
+/// @brief Decides whether an instance that is stopping still takes a request.
+///
+/// Answers stops in series, in which the balancer sends new connections to instances that are not
+/// ready: what may not end before the process does is refused as not run.
+/// @param aSinceStop  time since the signal to stop
+/// @param aUntilEnd  time until the process ends at the latest
+/// @return true if the request is taken; constant time
+bool
+TakenDuringStop(const Route& aRoute, milliseconds aSinceStop, milliseconds aUntilEnd);
+
 } // namespace plantainslip::serving
--- a/src/serving/admission_rule.cpp
+++ b/src/serving/admission_rule.cpp
@@ -12,12 +12,25 @@
 constexpr int kPatienceGaps = 8;
 /// Left of a caller's patience for errors of the estimate.
 constexpr double kPatienceShare = 0.7;
+/// The balancer asks once a second and believes the second answer.
+constexpr milliseconds kStreamsTakenInStop{ 2'200 };
 /// Shortest and longest wait told to callers: one batch, and the time in which a burst passes.
 constexpr milliseconds kShortestReturn{ 150 };
 constexpr milliseconds kLongestReturn{ 2'000 };
 
 } // namespace
 
+bool
+TakenDuringStop(const Route& aRoute, milliseconds aSinceStop, milliseconds aUntilEnd)
+{
+  if (aRoute.kind != RequestKind::kStream) {
+    return aRoute.timeout <= aUntilEnd;
+  }
+  // Most streams end within a fraction of their route's timeout. They are taken until the balancer
+  // has seen that the instance is not ready.
+  return aSinceStop <= kStreamsTakenInStop;
+}
+
 std::optional<milliseconds>
 DecideRefusal(const Route& aRoute, const PrefillPlace& aPlace, milliseconds aElapsed)
 {
--- a/src/serving/front_door.cpp
+++ b/src/serving/front_door.cpp
@@ -74,6 +74,14 @@
   }
 }
 
+net::Address
+FrontDoor::LocalAddress() const
+{
+  ErrorCode ignored;
+  const Tcp::endpoint endpoint = this->acceptor.local_endpoint(ignored);
+  return { endpoint.address().to_string(), endpoint.port() };
+}
+
 void
 FrontDoor::CloseIdle()
 {
--- a/src/serving/front_door.hpp
+++ b/src/serving/front_door.hpp
@@ -33,6 +33,9 @@
   FrontDoor(const FrontDoor&) = delete;
   FrontDoor& operator=(const FrontDoor&) = delete;
 
+  /// @brief Gives the address that is listened on; port 0 in Open() takes a free one.
+  net::Address LocalAddress() const;
+
   /// @brief Sets the bounds on what callers may send, from the next request on.
   void SetLimits(const CallerLimits& aLimits) { this->limits = aLimits; }
 
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -72,6 +72,13 @@
   std::shared_ptr<const FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
   /// @brief When the store last confirmed that the snapshot is the newest.
   core::MonotonicTime confirmedAt = {};
+  /// @brief The signal to stop and the end of the process, once the instance is stopping.
+  struct Stopping
+  {
+    core::MonotonicTime since;
+    core::MonotonicTime end;
+  };
+  std::optional<Stopping> stopping = {};
 
   /// @brief Gives the retry budget of a service, made at its first use.
   retries::RetryBudget& Budget(const core::ServiceName& aService)
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -6,6 +6,8 @@
 
 #include <plantainslip/core/log.hpp>
 
+#include <plantainslip/serving/admission_rule.hpp>
+
 #include "attempt.hpp"
 
 namespace plantainslip::serving {
@@ -21,6 +23,8 @@
 /// finds its configuration or its targets again.
 constexpr milliseconds kReturnAfterRefusal{ 200 };
 constexpr milliseconds kReturnAfterOutage{ 500 };
+/// The next connection goes to another instance, which can serve at once.
+constexpr milliseconds kReturnAfterStop{ 20 };
 /// Age of the store's last confirmation from which an unknown route may just be new.
 constexpr milliseconds kConfirmationLifetime{ 2'500 };
 /// Most targets that are given up for want of a connection before the request is refused.
@@ -261,6 +265,16 @@
     co_await Refuse(aContext, request, kUnavailable, std::move(reason), kReturnAfterOutage);
     co_return;
   }
+  if (aContext.stopping.has_value()) {
+    const core::MonotonicTime now = aContext.clock.Now();
+    const auto since = std::chrono::duration_cast<milliseconds>(now - aContext.stopping->since);
+    const auto untilEnd = std::chrono::duration_cast<milliseconds>(aContext.stopping->end - now);
+    if (!TakenDuringStop(*route, since, untilEnd)) {
+      std::string reason = "stopping";
+      co_await Refuse(aContext, request, kUnavailable, std::move(reason), kReturnAfterStop);
+      co_return;
+    }
+  }
   const auto left = request.deadline - aContext.clock.Now();
   const TimeLimit limit(
     aContext.executor, left, [&aCancellation] { aCancellation.Cancel(CancelReason::kDeadline); });
--- /dev/null
+++ b/tests/fakes/wire_store.cpp
@@ -0,0 +1,244 @@
+#include "wire_store.hpp"
+
+#include <stdexcept>
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+namespace plantainslip::fakes {
+
+using nlohmann::json;
+using serving::AnswerWriter;
+using serving::CallerRequest;
+using serving::Task;
+
+namespace {
+
+constexpr std::chrono::milliseconds kWatchPoll{ 2 };
+
+// Value of a parameter of the query; keys of these tests need no decoding.
+std::string
+Parameter(const std::string& aTarget, const std::string& aName)
+{
+  const std::string start = aName + "=";
+  const std::size_t found = aTarget.find(start);
+  if (found == std::string::npos) {
+    return "";
+  }
+  const std::size_t begin = found + start.size();
+  return aTarget.substr(begin, aTarget.find('&', begin) - begin);
+}
+
+Task<void>
+Pause(std::chrono::milliseconds aTime)
+{
+  serving::asio::steady_timer timer(co_await serving::asio::this_coro::executor, aTime);
+  serving::ErrorCode ignored;
+  co_await timer.async_wait(serving::Into(ignored));
+}
+
+} // namespace
+
+WireStore::WireStore(serving::asio::io_context& aContext)
+  : context(aContext)
+{
+  auto opened = serving::FrontDoor::Open(
+    aContext,
+    { "127.0.0.1", 0 },
+    this->clock,
+    [this](const CallerRequest& aRequest, AnswerWriter& aWriter, serving::Cancellation&) {
+      return this->Serve(aRequest, aWriter);
+    });
+  if (!opened.ok()) {
+    throw std::runtime_error(std::string(opened.status().message()));
+  }
+  this->door = std::move(*opened);
+}
+
+void
+WireStore::Change(const std::string& aKey, Item aItem)
+{
+  aItem.revision = ++this->revision;
+  const auto found = this->items.find(aKey);
+  const bool fresh = found == this->items.end() || found->second.removed;
+  aItem.created = fresh ? aItem.revision : found->second.created;
+  this->items[aKey] = std::move(aItem);
+}
+
+void
+WireStore::Put(const std::string& aKey, const std::string& aValue)
+{
+  const std::scoped_lock lock(this->mutex);
+  Item item;
+  item.value = aValue;
+  this->Change(aKey, item);
+}
+
+void
+WireStore::Remove(const std::string& aKey)
+{
+  const std::scoped_lock lock(this->mutex);
+  Item item;
+  item.removed = true;
+  this->Change(aKey, item);
+}
+
+std::string
+WireStore::Get(const std::string& aKey) const
+{
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->items.find(aKey);
+  return found == this->items.end() || found->second.removed ? "" : found->second.value;
+}
+
+void
+WireStore::SetMode(Mode aMode)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->mode = aMode;
+}
+
+void
+WireStore::DropHistory()
+{
+  const std::scoped_lock lock(this->mutex);
+  this->historyFrom = this->revision;
+}
+
+std::string
+WireStore::Range(const std::string& aTarget) const
+{
+  const std::string prefix = Parameter(aTarget, "prefix");
+  json found = json::array();
+  for (const auto& [key, item] : this->items) {
+    if (key.starts_with(prefix) && !item.removed) {
+      found.push_back({ { "key", key },
+                        { "value", absl::Base64Escape(item.value) },
+                        { "revision", item.revision },
+                        { "created", item.created },
+                        { "lease", item.lease } });
+    }
+  }
+  return json{
+    { "items", found }, { "hasMore", false }, { "storeRevision", this->revision }
+  }.dump();
+}
+
+std::string
+WireStore::Events(const std::string& aPrefix, std::uint64_t aAfter) const
+{
+  json events = json::array();
+  for (const auto& [key, item] : this->items) {
+    if (!key.starts_with(aPrefix) || item.revision <= aAfter) {
+      continue;
+    }
+    json event = { { "key", key }, { "revision", item.revision } };
+    if (item.removed) {
+      event["removed"] = true;
+    } else {
+      event["value"] = absl::Base64Escape(item.value);
+      event["created"] = item.created;
+      event["lease"] = item.lease;
+    }
+    events.push_back(event);
+  }
+  return events.empty() ? ""
+                        : json{ { "events", events }, { "storeRevision", this->revision } }.dump();
+}
+
+std::pair<int, std::string>
+WireStore::Write(const std::string& aBody)
+{
+  const json body = json::parse(aBody);
+  for (const json& row : body.at("precondition")) {
+    const auto found = this->items.find(row.at("key").get<std::string>());
+    const bool absent = found == this->items.end() || found->second.removed;
+    const std::uint64_t present = absent ? 0 : found->second.revision;
+    if (present != row.at("revision").get<std::uint64_t>()) {
+      return { 412, "{}" };
+    }
+  }
+  for (const json& row : body.at("setKeys")) {
+    Item item;
+    absl::Base64Unescape(row.at("value").get<std::string>(), &item.value);
+    item.lease = row.value("lease", std::uint64_t{ 0 });
+    this->Change(row.at("key").get<std::string>(), item);
+  }
+  return { 200, json{ { "revision", this->revision } }.dump() };
+}
+
+std::pair<int, std::string>
+WireStore::Answer(const CallerRequest& aRequest)
+{
+  const std::scoped_lock lock(this->mutex);
+  const std::string path = aRequest.target.substr(0, aRequest.target.find('?'));
+  if (this->mode == Mode::kRefusing) {
+    return { 503, "" };
+  }
+  if (path == "/plantainslip/kv-range") {
+    return { 200, this->Range(aRequest.target) };
+  }
+  if (path == "/plantainslip/kv-txn") {
+    return this->Write(aRequest.body);
+  }
+  if (path == "/plantainslip/kv-lease") {
+    return { 200, json{ { "lease", this->nextLease++ }, { "ttlMs", 3'000 } }.dump() };
+  }
+  if (path.starts_with("/plantainslip/kv-keep/")) {
+    return { 200, json{ { "ttlMs", 3'000 } }.dump() };
+  }
+  return { 404, "" };
+}
+
+Task<void>
+WireStore::ServeWatch(const std::string& aTarget, AnswerWriter& aWriter)
+{
+  const std::string prefix = Parameter(aTarget, "prefix");
+  const std::uint64_t after = std::stoull(Parameter(aTarget, "after"));
+  const auto until =
+    this->clock.Now() + std::chrono::milliseconds(std::stoll(Parameter(aTarget, "waitMs")));
+  int status = 200;
+  std::string body;
+  while (body.empty() && status == 200) {
+    {
+      const std::scoped_lock lock(this->mutex);
+      if (this->mode != Mode::kWell) {
+        status = 503;
+      } else if (after < this->historyFrom) {
+        status = 410;
+      } else {
+        body = this->Events(prefix, after);
+        if (body.empty() && this->clock.Now() >= until) {
+          body = json{ { "events", json::array() }, { "storeRevision", this->revision } }.dump();
+        }
+      }
+    }
+    if (body.empty() && status == 200) {
+      co_await Pause(kWatchPoll);
+    }
+  }
+  co_await aWriter.WriteWhole(status, serving::HeaderList(), std::move(body));
+}
+
+Task<void>
+WireStore::Serve(const CallerRequest& aRequest, AnswerWriter& aWriter)
+{
+  bool silent = true;
+  while (silent) {
+    {
+      const std::scoped_lock lock(this->mutex);
+      silent = this->mode == Mode::kSilent;
+    }
+    if (silent) {
+      co_await Pause(kWatchPoll);
+    }
+  }
+  if (aRequest.target.starts_with("/plantainslip/kv-watch")) {
+    co_await this->ServeWatch(aRequest.target, aWriter);
+    co_return;
+  }
+  std::pair<int, std::string> answer = this->Answer(aRequest);
+  co_await aWriter.WriteWhole(answer.first, serving::HeaderList(), std::move(answer.second));
+}
+
+} // namespace plantainslip::fakes
--- /dev/null
+++ b/tests/fakes/wire_target.cpp
@@ -0,0 +1,192 @@
+#include "wire_target.hpp"
+
+#include <stdexcept>
+
+namespace plantainslip::fakes {
+
+using serving::AnswerWriter;
+using serving::CallerRequest;
+using serving::FindHeader;
+using serving::HeaderList;
+using serving::Task;
+
+namespace {
+
+constexpr std::chrono::milliseconds kPoll{ 2 };
+constexpr int kEvents = 4;
+
+std::string
+HeaderOr(const CallerRequest& aRequest, std::string_view aName)
+{
+  const std::string* const found = FindHeader(aRequest.headers, aName);
+  return found == nullptr ? "" : *found;
+}
+
+std::string
+EventText(int aNumber)
+{
+  return "id: " + std::to_string(aNumber) + "\ndata: piece " + std::to_string(aNumber) + "\n\n";
+}
+
+} // namespace
+
+WireTarget::WireTarget(serving::asio::io_context& aContext, std::string aId)
+  : id(std::move(aId))
+{
+  auto opened = serving::FrontDoor::Open(aContext,
+                                         { "127.0.0.1", 0 },
+                                         this->clock,
+                                         [this](const CallerRequest& aRequest,
+                                                AnswerWriter& aWriter,
+                                                serving::Cancellation& aCancellation) {
+                                           return this->Serve(aRequest, aWriter, aCancellation);
+                                         });
+  if (!opened.ok()) {
+    throw std::runtime_error(std::string(opened.status().message()));
+  }
+  this->door = std::move(*opened);
+}
+
+void
+WireTarget::Plan(std::vector<TargetAct> aActs)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->released = false;
+  this->acts.assign(aActs.begin(), aActs.end());
+}
+
+void
+WireTarget::Release()
+{
+  const std::scoped_lock lock(this->mutex);
+  this->released = true;
+}
+
+std::vector<ReceivedRequest>
+WireTarget::Received() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->received;
+}
+
+std::vector<std::string>
+WireTarget::Orders() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->orders;
+}
+
+std::size_t
+WireTarget::Abandoned() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->abandoned;
+}
+
+TargetAct
+WireTarget::Take(const CallerRequest& aRequest)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->received.push_back(
+    { HeaderOr(aRequest, "X-Request-Id"), aRequest.target, aRequest.body, aRequest.headers });
+  if (this->acts.empty()) {
+    return TargetAct::kAnswer;
+  }
+  const TargetAct act = this->acts.front();
+  this->acts.pop_front();
+  return act;
+}
+
+Task<bool>
+WireTarget::ServeControl(const CallerRequest& aRequest, AnswerWriter& aWriter)
+{
+  HeaderList none;
+  if (aRequest.target == "/plantainslip/report") {
+    std::string body = R"({"stage":"decode","sequence":0})";
+    co_await aWriter.WriteWhole(200, std::move(none), std::move(body));
+    co_return true;
+  }
+  if (aRequest.target == "/plantainslip/order") {
+    {
+      const std::scoped_lock lock(this->mutex);
+      this->orders.push_back(aRequest.body);
+    }
+    std::string body;
+    co_await aWriter.WriteWhole(202, std::move(none), std::move(body));
+    co_return true;
+  }
+  co_return false;
+}
+
+Task<void>
+WireTarget::Answer(const CallerRequest& aRequest, AnswerWriter& aWriter, bool aBreak)
+{
+  HeaderList headers;
+  headers.push_back({ "X-Request-Id", HeaderOr(aRequest, "X-Request-Id") });
+  if (HeaderOr(aRequest, "X-Serving-Stage") == "prefill") {
+    std::string body = R"({"handle":"h1","tokens":10,"version":1})";
+    co_await aWriter.WriteWhole(200, std::move(headers), std::move(body));
+    co_return;
+  }
+  headers.push_back({ "X-Response-Seal", "seal-" + this->id });
+  if (HeaderOr(aRequest, "X-Model-Id").empty()) {
+    std::string body = "answer of " + this->id;
+    co_await aWriter.WriteWhole(200, std::move(headers), std::move(body));
+    co_return;
+  }
+  headers.push_back({ "Content-Type", "text/event-stream" });
+  const std::string last = HeaderOr(aRequest, "Last-Event-Id");
+  int next = last.empty() ? 1 : std::stoi(last) + 1;
+  bool open = co_await aWriter.BeginStream(200, std::move(headers));
+  for (; open && next <= kEvents; ++next) {
+    std::string event = EventText(next);
+    if (aBreak && next == 2) {
+      std::string half = event.substr(0, event.size() / 2);
+      co_await aWriter.WritePiece(std::move(half));
+      aWriter.Break();
+      co_return;
+    }
+    open = co_await aWriter.WritePiece(std::move(event));
+  }
+  if (open) {
+    co_await aWriter.EndStream();
+  }
+}
+
+Task<void>
+WireTarget::Serve(const CallerRequest& aRequest,
+                  AnswerWriter& aWriter,
+                  serving::Cancellation& aCancellation)
+{
+  const bool control = co_await this->ServeControl(aRequest, aWriter);
+  if (control) {
+    co_return;
+  }
+  const TargetAct act = this->Take(aRequest);
+  const auto goesOn = [&] {
+    const std::scoped_lock lock(this->mutex);
+    return this->released || aCancellation.Reason().has_value();
+  };
+  while (act == TargetAct::kHold && !goesOn()) {
+    co_await serving::Pause(kPoll, aCancellation);
+  }
+  if (aCancellation.Reason().has_value()) {
+    const std::scoped_lock lock(this->mutex);
+    ++this->abandoned;
+    co_return;
+  }
+  if (act == TargetAct::kShed) {
+    HeaderList headers;
+    headers.push_back({ "X-Not-Run", "1" });
+    std::string empty;
+    co_await aWriter.WriteWhole(503, std::move(headers), std::move(empty));
+    co_return;
+  }
+  if (act == TargetAct::kDrop) {
+    aWriter.Break();
+    co_return;
+  }
+  co_await this->Answer(aRequest, aWriter, act == TargetAct::kBreak);
+}
+
+} // namespace plantainslip::fakes
--- /dev/null
+++ b/tests/harness/wire_fleet.cpp
@@ -0,0 +1,235 @@
+#include "wire_fleet.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "raw_connection.hpp"
+
+namespace plantainslip::harness {
+
+using nlohmann::json;
+
+namespace {
+
+// A port that nobody listens on; the kernel gives it to nobody else soon.
+std::uint16_t
+FreePort(int aType)
+{
+  const int descriptor = ::socket(AF_INET, aType, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the sockets interface asks for it
+  auto* const plain = reinterpret_cast<sockaddr*>(&address);
+  const bool bound =
+    ::bind(descriptor, plain, size) == 0 && ::getsockname(descriptor, plain, &size) == 0;
+  ::close(descriptor);
+  if (!bound) {
+    throw std::runtime_error("no free port");
+  }
+  return ntohs(address.sin_port);
+}
+
+json
+RouteOf(const std::string& aName, const std::string& aKind, const std::string& aService)
+{
+  return { { "name", aName },     { "host", "h.example" }, { "prefix", "/" + aName + "/" },
+           { "kind", aKind },     { "timeoutMs", 5'000 },  { "targetLatencyMs", 500 },
+           { "priority", 1 },     { "service", aService }, { "attempts", 1 },
+           { "targetGapMs", 250 } };
+}
+
+std::string
+Unchunk(const std::string& aBody, bool& aWhole)
+{
+  std::string body;
+  std::size_t at = 0;
+  aWhole = false;
+  while (true) {
+    const std::size_t line = aBody.find("\r\n", at);
+    if (line == std::string::npos) {
+      return body;
+    }
+    const std::size_t size = std::stoul(aBody.substr(at, line - at), nullptr, 16);
+    if (size == 0) {
+      aWhole = true;
+      return body;
+    }
+    body += aBody.substr(line + 2, size);
+    at = line + 2 + size + 2;
+    if (at > aBody.size()) {
+      return body;
+    }
+  }
+}
+
+} // namespace
+
+CallerAnswer
+ParseAnswer(const std::string& aBytes)
+{
+  CallerAnswer answer;
+  const std::size_t end = aBytes.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return answer;
+  }
+  answer.head = aBytes.substr(0, end + 2);
+  answer.status = std::stoi(answer.head.substr(std::string("HTTP/1.1 ").size()));
+  const std::string rest = aBytes.substr(end + 4);
+  if (answer.head.find("Transfer-Encoding: chunked") != std::string::npos) {
+    answer.body = Unchunk(rest, answer.whole);
+    return answer;
+  }
+  const std::string name = "Content-Length: ";
+  const std::size_t length = answer.head.find(name);
+  answer.body = rest;
+  answer.whole = length != std::string::npos &&
+                 std::stoul(answer.head.substr(length + name.size())) == rest.size();
+  return answer;
+}
+
+WireFleet::WireFleet()
+  : work(serving::asio::make_work_guard(this->context))
+  , store(std::make_unique<fakes::WireStore>(this->context))
+{
+  this->thread = std::jthread([this] { this->context.run(); });
+}
+
+WireFleet::~WireFleet()
+{
+  this->gateways.clear();
+  this->context.stop();
+  this->thread.join();
+  if (!this->settingsPath.empty()) {
+    std::remove(this->settingsPath.c_str());
+  }
+}
+
+fakes::WireTarget&
+WireFleet::AddTarget(const std::string& aId, const std::string& aService, const std::string& aStage)
+{
+  this->targets.push_back(std::make_unique<fakes::WireTarget>(this->context, aId));
+  this->List(*this->targets.back(), aService, aStage);
+  return *this->targets.back();
+}
+
+void
+WireFleet::List(const fakes::WireTarget& aTarget,
+                const std::string& aService,
+                const std::string& aStage,
+                const std::string& aState)
+{
+  json entry = { { "service", aService }, { "address", aTarget.Address().Text() },
+                 { "zone", "a" },         { "slots", 8 },
+                 { "state", aState },     { "sequence", 1 } };
+  if (!aStage.empty()) {
+    entry["stage"] = aStage;
+  }
+  this->store->Put("servers/" + aTarget.Id(), entry.dump());
+}
+
+void
+WireFleet::Configure(std::uint64_t aVersion)
+{
+  json quote = RouteOf("quote", "stream", "models");
+  json note = RouteOf("note", "stream", "models");
+  note["attempts"] = 2;
+  note["allowResume"] = true;
+  json look = RouteOf("look", "safe", "desk");
+  look["attempts"] = 2;
+  const json config = {
+    { "version", aVersion },
+    { "routes", json::array({ quote, note, RouteOf("pay", "unsafe", "desk"), look }) },
+    { "services",
+      json::array({ { { "name", "models" },
+                      { "maxConnections", 100 },
+                      { "engine", { { "slots", 8 }, { "handleTtlS", 5.0 }, { "switchS", 1.0 } } } },
+                    { { "name", "desk" }, { "maxConnections", 100 } } }) },
+    { "limits",
+      { { "maxHeaderBytes", 16'384 },
+        { "maxBodyBytes", 65'536 },
+        { "headerTimeoutMs", 3'000 },
+        { "idleTimeoutMs", 15'000 } } }
+  };
+  this->store->Put("op/config", config.dump());
+}
+
+ChildProcess&
+WireFleet::StartGateway(bool aAwaitReady)
+{
+  this->callers = { "127.0.0.1", FreePort(SOCK_STREAM) };
+  this->readiness = { "127.0.0.1", FreePort(SOCK_STREAM) };
+  const std::string name = "one-" + std::to_string(this->gateways.size());
+  const json settings = {
+    { "node", name },
+    { "zone", "a" },
+    { "ip", "127.0.0.1" },
+    { "listen", { { "front", this->callers.Text() }, { "ready", this->readiness.Text() } } },
+    { "internalPorts", { FreePort(SOCK_DGRAM), 0 } },
+    { "platform", { { "address", this->store->Address().Text() } } },
+    { "bounds",
+      { { "graceS", 8 }, { "leaseMs", 3'000 }, { "budgetRatio", 0.2 }, { "budgetSlack", 58 } } }
+  };
+  this->settingsPath = "wire-fleet-" + std::to_string(::getpid()) + ".json";
+  std::ofstream(this->settingsPath) << settings.dump();
+  ::setenv("PLANTAINSLIP_SETTINGS", this->settingsPath.c_str(), 1);
+  this->gateways.push_back(
+    std::make_unique<ChildProcess>("apps/plantainslip-gateway", std::vector<std::string>{}, false));
+  if (aAwaitReady) {
+    Await("the gateway to be ready", [&] { return this->Readiness() == 200; });
+  }
+  return *this->gateways.back();
+}
+
+int
+WireFleet::Readiness() const
+{
+  try {
+    const RawConnection connection(this->readiness);
+    connection.Send("GET /plantainslip/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    return ParseAnswer(connection.ReadToEnd()).status;
+  } catch (const std::exception&) {
+    return 0;
+  }
+}
+
+std::string
+WireFleet::CompletionHeaders()
+{
+  return "X-Model-Id: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: a1:60,b2:40\r\n";
+}
+
+CallerAnswer
+WireFleet::Call(const std::string& aMethod,
+                const std::string& aPath,
+                const std::string& aId,
+                const std::string& aHeaders,
+                const std::string& aBody) const
+{
+  const RawConnection connection(this->callers);
+  std::string request = aMethod + " " + aPath + " HTTP/1.1\r\nHost: h.example\r\n";
+  request += "X-Request-Id: " + aId + "\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n" + aHeaders;
+  if (!aBody.empty()) {
+    request += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  }
+  connection.Send(request + "\r\n" + aBody);
+  return ParseAnswer(connection.ReadToEnd());
+}
+
+void
+WireFleet::AwaitServed(const std::string& aPath, int aStatus) const
+{
+  int attempt = 0;
+  Await(aPath + " to be answered with " + std::to_string(aStatus), [&] {
+    return this->Call("GET", aPath, "await-" + std::to_string(++attempt)).status == aStatus;
+  });
+}
+
+} // namespace plantainslip::harness
--- /dev/null
+++ b/tests/src/process-wire-path.cpp
@@ -0,0 +1,306 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "harness/raw_connection.hpp"
+#include "harness/wire_fleet.hpp"
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+using fakes::TargetAct;
+using harness::Await;
+using harness::CallerAnswer;
+using harness::WireFleet;
+
+namespace {
+
+const std::string kWholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+                                 "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
+
+std::string
+HeaderOf(const fakes::ReceivedRequest& aRequest, const std::string& aName)
+{
+  const std::string* const found = serving::FindHeader(aRequest.headers, aName);
+  return found == nullptr ? "" : *found;
+}
+
+std::size_t
+CountOf(const fakes::WireTarget& aTarget, const std::string& aId)
+{
+  const auto received = aTarget.Received();
+  return static_cast<std::size_t>(std::count_if(
+    received.begin(), received.end(), [&](const auto& aRequest) { return aRequest.id == aId; }));
+}
+
+/// A fleet with one engine of each stage and two desks, and one instance that is ready.
+struct ReadyFleet
+{
+  WireFleet fleet;
+  fakes::WireTarget& prefill = this->fleet.AddTarget("i-p", "models", "prefill");
+  fakes::WireTarget& decode = this->fleet.AddTarget("i-d", "models", "decode");
+  fakes::WireTarget& desk = this->fleet.AddTarget("i-s", "desk", "");
+  harness::ChildProcess* gateway = nullptr;
+
+  ReadyFleet()
+  {
+    this->fleet.Configure(3);
+    this->gateway = &this->fleet.StartGateway();
+    this->fleet.AwaitServed("/look/x", 200);
+  }
+
+  CallerAnswer Complete(const std::string& aPath, const std::string& aId) const
+  {
+    return this->fleet.Call("POST", aPath, aId, WireFleet::CompletionHeaders(), "the prompt");
+  }
+};
+
+} // namespace
+
+TEST_CASE("a completion is read at one engine and made at another")
+{
+  ReadyFleet ready;
+  const CallerAnswer answer = ready.Complete("/quote/x?y=1", "r1");
+  CHECK(answer.status == 200);
+  CHECK(answer.whole);
+  CHECK(answer.body == kWholeStream);
+  CHECK(answer.head.find("X-Response-Seal: seal-i-d\r\n") != std::string::npos);
+  REQUIRE(CountOf(ready.prefill, "r1") == 1);
+  REQUIRE(CountOf(ready.decode, "r1") == 1);
+  const auto read = ready.prefill.Received().back();
+  CHECK(read.path == "/quote/x?y=1");
+  CHECK(read.body == "the prompt");
+  CHECK(HeaderOf(read, "X-Serving-Stage") == "prefill");
+  CHECK(HeaderOf(read, "X-Expect-Instance") == "i-p");
+  const auto made = ready.decode.Received().back();
+  CHECK(HeaderOf(made, "X-Kv-Source") == ready.prefill.Address().Text() + "/h1");
+  CHECK(HeaderOf(made, "X-Model-Id") == "m");
+  CHECK(std::stoi(HeaderOf(made, "X-Deadline-Ms")) <= 5'000);
+}
+
+TEST_CASE("a completion whose handle is gone is read by the engine that makes it")
+{
+  ReadyFleet ready;
+  ready.decode.Plan({ TargetAct::kShed });
+  const CallerAnswer answer = ready.Complete("/quote/x", "r1");
+  CHECK(answer.body == kWholeStream);
+  CHECK(answer.whole);
+  REQUIRE(CountOf(ready.decode, "r1") == 2);
+  CHECK(HeaderOf(ready.decode.Received().back(), "X-Kv-Source").empty());
+}
+
+TEST_CASE("an engine that sheds a prompt leaves the request not run, and the caller is told")
+{
+  ReadyFleet ready;
+  ready.prefill.Plan({ TargetAct::kShed });
+  const CallerAnswer answer = ready.Complete("/quote/x", "r1");
+  CHECK(answer.status == 503);
+  CHECK(answer.head.find("Retry-After: ") != std::string::npos);
+  CHECK(CountOf(ready.decode, "r1") == 0);
+}
+
+TEST_CASE("a broken stream")
+{
+  ReadyFleet ready;
+  fakes::WireTarget& other = ready.fleet.AddTarget("i-d2", "models", "decode");
+  ready.decode.Plan({ TargetAct::kBreak });
+  other.Plan({ TargetAct::kBreak });
+  SUBCASE("goes on at another engine behind the last whole event, if its route allows it")
+  {
+    // Whichever engine comes first breaks off; the other one has its break still before it, so
+    // only one of the two is to break.
+    other.Plan({});
+    ready.decode.Plan({ TargetAct::kBreak, TargetAct::kBreak, TargetAct::kBreak });
+    CallerAnswer answer;
+    int request = 0;
+    Await("a request to begin at the engine that breaks off", [&] {
+      answer = ready.Complete("/note/x", "n" + std::to_string(++request));
+      return CountOf(ready.decode, "n" + std::to_string(request)) == 1;
+    });
+    CHECK(answer.whole);
+    CHECK(answer.body == kWholeStream);
+    CHECK(answer.head.find("X-Response-Seal: seal-i-d\r\n") != std::string::npos);
+    REQUIRE(CountOf(other, "n" + std::to_string(request)) == 1);
+    CHECK(HeaderOf(other.Received().back(), "Last-Event-Id") == "1");
+  }
+  SUBCASE("is not run again and does not look complete, if its route does not allow it")
+  {
+    const CallerAnswer answer = ready.Complete("/quote/x", "r1");
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.whole);
+    CHECK(CountOf(ready.decode, "r1") + CountOf(other, "r1") == 1);
+  }
+}
+
+TEST_CASE("a call that may run only once")
+{
+  ReadyFleet ready;
+  fakes::WireTarget& other = ready.fleet.AddTarget("i-s2", "desk", "");
+  const auto sent = [&] { return CountOf(ready.desk, "r1") + CountOf(other, "r1"); };
+  SUBCASE("is not sent again when its answer is lost")
+  {
+    ready.desk.Plan({ TargetAct::kDrop });
+    other.Plan({ TargetAct::kDrop });
+    const CallerAnswer answer = ready.fleet.Call("POST", "/pay/x", "r1", "", "coins");
+    CHECK(answer.status == 502);
+    CHECK(sent() == 1);
+  }
+  SUBCASE("is refused as not run when its target says so")
+  {
+    ready.desk.Plan({ TargetAct::kShed });
+    other.Plan({ TargetAct::kShed });
+    const CallerAnswer answer = ready.fleet.Call("POST", "/pay/x", "r1", "", "coins");
+    CHECK(answer.status == 503);
+    CHECK(sent() == 1);
+  }
+}
+
+TEST_CASE("an idempotent call is sent to another target when the first one fails")
+{
+  ReadyFleet ready;
+  fakes::WireTarget& other = ready.fleet.AddTarget("i-s2", "desk", "");
+  ready.desk.Plan({ TargetAct::kDrop, TargetAct::kDrop, TargetAct::kDrop });
+  int request = 0;
+  CallerAnswer answer;
+  Await("a request to begin at the target that drops it", [&] {
+    answer = ready.fleet.Call("GET", "/look/x", "l" + std::to_string(++request));
+    return CountOf(ready.desk, "l" + std::to_string(request)) == 1;
+  });
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "answer of i-s2");
+  CHECK(CountOf(other, "l" + std::to_string(request)) == 1);
+}
+
+TEST_CASE("work ends when its caller leaves")
+{
+  ReadyFleet ready;
+  ready.desk.Plan({ TargetAct::kHold });
+  {
+    const harness::RawConnection caller(ready.fleet.Callers());
+    caller.Send("POST /pay/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n"
+                "X-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n");
+    Await("the target to get the request", [&] { return CountOf(ready.desk, "r1") == 1; });
+  }
+  Await("the target to see the caller leave", [&] { return ready.desk.Abandoned() == 1; });
+}
+
+TEST_CASE("header fields that are the system's to set are not passed on")
+{
+  ReadyFleet ready;
+  const CallerAnswer answer = ready.fleet.Call(
+    "GET", "/look/x", "r1", "X-Kv-Hold: h\r\nKv-Fetch: 1.2.3.4:5\r\nX-Other: kept\r\n");
+  CHECK(answer.status == 200);
+  const auto received = ready.desk.Received().back();
+  CHECK(HeaderOf(received, "X-Kv-Hold").empty());
+  CHECK(HeaderOf(received, "Kv-Fetch").empty());
+  CHECK(HeaderOf(received, "X-Other") == "kept");
+}
+
+TEST_CASE("an instance is ready only with a configuration and targets, and says so truthfully")
+{
+  WireFleet fleet;
+  fleet.StartGateway(false);
+  Await("the readiness to be answered", [&] { return fleet.Readiness() == 503; });
+  CHECK(fleet.Call("GET", "/look/x", "r1").status == 503);
+  fleet.AddTarget("i-s", "desk", "");
+  fleet.Configure(3);
+  Await("the gateway to be ready", [&] { return fleet.Readiness() == 200; });
+  fleet.AwaitServed("/look/x", 200);
+  fleet.AwaitServed("/none/x", 404);
+}
+
+TEST_CASE("news of the store that cannot be read harm nothing else")
+{
+  ReadyFleet ready;
+  ready.fleet.Store().Put("servers/i-odd", "not json");
+  ready.fleet.Store().Put("op/config", "not json either");
+  fakes::WireTarget& next = ready.fleet.AddTarget("i-s2", "desk", "");
+  int request = 0;
+  Await("the next target to be used", [&] {
+    const std::string id = "l" + std::to_string(++request);
+    CHECK(ready.fleet.Call("GET", "/look/x", id).status == 200);
+    ready.fleet.List(ready.desk, "desk", "", "draining");
+    return CountOf(next, id) == 1;
+  });
+}
+
+TEST_CASE("a target that leaves gets no new work")
+{
+  ReadyFleet ready;
+  fakes::WireTarget& next = ready.fleet.AddTarget("i-s2", "desk", "");
+  ready.fleet.List(ready.desk, "desk", "", "draining");
+  int request = 0;
+  Await("the leaving target to get nothing any more", [&] {
+    const std::string id = "l" + std::to_string(++request);
+    ready.fleet.Call("GET", "/look/x", id);
+    return CountOf(next, id) == 1 && request > 3;
+  });
+  const std::size_t before = ready.desk.Received().size();
+  for (int later = 0; later < 20; ++later) {
+    CHECK(ready.fleet.Call("GET", "/look/x", "later-" + std::to_string(later)).status == 200);
+  }
+  CHECK(ready.desk.Received().size() == before);
+}
+
+TEST_CASE("changes that the store has dropped from its history are read as a whole")
+{
+  ReadyFleet ready;
+  ready.fleet.Store().SetMode(fakes::WireStore::Mode::kRefusing);
+  fakes::WireTarget& next = ready.fleet.AddTarget("i-s2", "desk", "");
+  ready.fleet.Store().Remove("servers/i-s");
+  ready.fleet.Store().DropHistory();
+  ready.fleet.Store().SetMode(fakes::WireStore::Mode::kWell);
+  int request = 0;
+  Await("the target that came in the gap to be used", [&] {
+    const std::string id = "l" + std::to_string(++request);
+    ready.fleet.Call("GET", "/look/x", id);
+    return CountOf(next, id) == 1;
+  });
+}
+
+TEST_CASE("requests are served while the store is away, and unknown routes are not denied")
+{
+  ReadyFleet ready;
+  ready.fleet.Store().SetMode(fakes::WireStore::Mode::kSilent);
+  CHECK(ready.fleet.Call("GET", "/look/x", "r1").status == 200);
+  ready.fleet.AwaitServed("/none/x", 503);
+  CHECK(ready.fleet.Call("GET", "/look/x", "r2").status == 200);
+  ready.fleet.Store().SetMode(fakes::WireStore::Mode::kWell);
+  ready.fleet.AwaitServed("/none/x", 404);
+}
+
+TEST_CASE("a stop lets open requests end and tells callers to go elsewhere")
+{
+  ReadyFleet ready;
+  ready.desk.Plan({ TargetAct::kHold });
+  const harness::RawConnection caller(ready.fleet.Callers());
+  caller.Send("POST /pay/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n"
+              "X-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n");
+  Await("the target to get the request", [&] { return CountOf(ready.desk, "r1") == 1; });
+  ready.gateway->Signal(SIGTERM);
+  Await("the gateway not to be ready", [&] { return ready.fleet.Readiness() == 503; });
+  CHECK(ready.fleet.Call("GET", "/look/x", "r2").status == 200);
+  ready.desk.Release();
+  const CallerAnswer answer = harness::ParseAnswer(caller.ReadToEnd());
+  CHECK(answer.status == 200);
+  CHECK(answer.whole);
+  CHECK(answer.head.find("Connection: close") != std::string::npos);
+  CHECK(ready.gateway->WaitForExit() == 0);
+}
+
+TEST_CASE("bad requests are refused and reach no target")
+{
+  ReadyFleet ready;
+  const std::size_t before = ready.desk.Received().size();
+  const auto answerTo = [&](const std::string& aBytes) {
+    const harness::RawConnection caller(ready.fleet.Callers());
+    caller.Send(aBytes);
+    return harness::ParseAnswer(caller.ReadToEnd()).status;
+  };
+  const std::string start = "POST /pay/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n";
+  CHECK(answerTo("nonsense\r\n\r\n") == 400);
+  CHECK(answerTo(start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+        400);
+  CHECK(answerTo(start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd") == 400);
+  CHECK(answerTo(start + "Content-Length: 99999999\r\n\r\n") == 413);
+  CHECK(answerTo(start + "X-Long: " + std::string(20'000, 'x') + "\r\n\r\n") == 431);
+  CHECK(ready.desk.Received().size() == before);
+}
--- /dev/null
+++ b/tests/src/unit-serving-state.cpp
@@ -0,0 +1,206 @@
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+
+#include <plantainslip/serving/directory.hpp>
+#include <plantainslip/serving/event_stream.hpp>
+#include <plantainslip/serving/peer_message.hpp>
+
+using namespace plantainslip;          // NOLINT(google-build-using-namespace)
+using namespace plantainslip::serving; // NOLINT(google-build-using-namespace)
+using namespace std::chrono_literals;
+
+namespace {
+
+DirectoryChange
+Entry(const std::string& aId, std::uint64_t aRevision, bool aLeaving = false)
+{
+  DirectoryChange change;
+  change.id = core::TargetId(aId);
+  change.revision = core::Revision(aRevision);
+  change.target.emplace();
+  change.target->id = change.id;
+  change.target->leaving = aLeaving;
+  return change;
+}
+
+DirectoryChange
+Removal(const std::string& aId, std::uint64_t aRevision)
+{
+  DirectoryChange change;
+  change.id = core::TargetId(aId);
+  change.revision = core::Revision(aRevision);
+  change.removed = true;
+  return change;
+}
+
+} // namespace
+
+TEST_CASE("the directory takes in newer news only")
+{
+  Directory directory;
+  core::MonotonicTime now{};
+  const core::TargetId target("t");
+  CHECK(directory.Apply(Entry("t", 5), now));
+  CHECK_FALSE(directory.Apply(Entry("t", 5), now));
+  SUBCASE("an older entry changes nothing")
+  {
+    CHECK(directory.Apply(Entry("t", 7, true), now));
+    CHECK_FALSE(directory.Apply(Entry("t", 6), now));
+    CHECK(directory.Targets().at(target).leaving);
+  }
+  SUBCASE("a removed target is gone at once while the store is well")
+  {
+    CHECK(directory.Apply(Removal("t", 6), now));
+    CHECK(directory.Targets().empty());
+  }
+  SUBCASE("an unreadable entry names no target and harms no other")
+  {
+    directory.Apply(Entry("u", 6), now);
+    DirectoryChange unreadable = Entry("t", 7);
+    unreadable.target.reset();
+    CHECK(directory.Apply(unreadable, now));
+    CHECK_FALSE(directory.Targets().contains(target));
+    CHECK(directory.Targets().contains(core::TargetId("u")));
+  }
+  SUBCASE("a list removes what it lacks, unless that came later")
+  {
+    directory.Apply(Entry("new", 9), now);
+    directory.ApplyAll({}, core::Revision(8), now);
+    CHECK_FALSE(directory.Targets().contains(target));
+    CHECK(directory.Targets().contains(core::TargetId("new")));
+  }
+}
+
+TEST_CASE("entries that lapse in an outage are kept until their targets have had time to return")
+{
+  Directory directory;
+  core::MonotonicTime now{};
+  const core::TargetId target("t");
+  directory.Apply(Entry("t", 5), now);
+  directory.NoteOutage(now);
+  now += 1s;
+  CHECK_FALSE(directory.Apply(Removal("t", 6), now));
+  CHECK(directory.Targets().contains(target));
+  SUBCASE("one that returns stays")
+  {
+    directory.Apply(Entry("t", 7), now + 1s);
+    CHECK_FALSE(directory.Expire(now + 10s));
+    CHECK(directory.Targets().contains(target));
+  }
+  SUBCASE("one that does not is gone before it would get work that it may not get")
+  {
+    CHECK_FALSE(directory.Expire(now + 1s));
+    CHECK(directory.Expire(now + Directory::kLapseGrace));
+    CHECK(directory.Targets().empty());
+  }
+  SUBCASE("a removal long after the outage is believed")
+  {
+    directory.Apply(Entry("u", 8), now);
+    CHECK(directory.Apply(Removal("u", 9), now + Directory::kOutageMemory));
+  }
+}
+
+TEST_CASE("events are passed on whole")
+{
+  EventStream events;
+  CHECK(events.Take("id: 1\ndata: a\n").empty());
+  CHECK(events.HasPartial());
+  CHECK(events.Take("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(events.LastEventId() == "1");
+  SUBCASE("the beginning of an event whose rest does not come is dropped")
+  {
+    events.DropPartial();
+    CHECK(events.Take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(events.LastEventId() == "2");
+  }
+  SUBCASE("lines may end with a carriage return")
+  {
+    events.DropPartial();
+    CHECK(events.Take("id:7\r\ndata: c\r\n\r\n") == "id:7\r\ndata: c\r\n\r\n");
+    CHECK(events.LastEventId() == "7");
+  }
+}
+
+TEST_CASE("events come out the same however their bytes are cut")
+{
+  setenv("RC_PARAMS", "seed=1", 0);
+  const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 3\ndata: c\n\n";
+  CHECK(rc::check([&] {
+    EventStream events;
+    std::string taken;
+    std::size_t at = 0;
+    while (at < text.size()) {
+      const auto size = *rc::gen::inRange<std::size_t>(1, 9);
+      taken += events.Take(std::string_view(text).substr(at, size));
+      at += size;
+    }
+    RC_ASSERT(taken == text);
+    RC_ASSERT(events.LastEventId() == "3");
+    RC_ASSERT(!events.HasPartial());
+  }));
+}
+
+TEST_CASE("a peer's message comes back as it was written")
+{
+  PeerMessage message;
+  message.sender = core::InstanceId("one");
+  message.sequence = 9;
+  message.configRevision = core::Revision(3);
+  message.targetsRevision = core::Revision(4);
+  TargetLoad load;
+  load.requests = 2.0;
+  load.prefillTokens[4] = 1'234.0;
+  message.loads[core::TargetId("t")] = load;
+  const std::string bytes = EncodePeerMessage(message);
+  const auto read = DecodePeerMessage(bytes);
+  REQUIRE(read.ok());
+  CHECK(read->sender == message.sender);
+  CHECK(read->sequence == 9);
+  CHECK(read->targetsRevision == core::Revision(4));
+  CHECK(read->loads == message.loads);
+  SUBCASE("whatever is cut or changed is an error or a message, never a crash")
+  {
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      CHECK_FALSE(DecodePeerMessage(std::string_view(bytes).substr(0, size)).ok());
+    }
+    for (std::size_t at = 0; at < bytes.size(); ++at) {
+      std::string changed = bytes;
+      changed[at] = static_cast<char>(changed[at] ^ 0x5a);
+      (void)DecodePeerMessage(changed);
+    }
+  }
+}
+
+TEST_CASE("loads of peers count as long as they are fresh")
+{
+  LoadBook book;
+  core::MonotonicTime now{};
+  const core::TargetId target("t");
+  TargetLoad load;
+  load.requests = 1.0;
+  load.prefillTokens[2] = 100.0;
+  book.Add(target, load);
+  book.SetPeer(core::InstanceId("one"), { { target, load } }, now);
+  book.SetPeer(core::InstanceId("two"), { { target, load } }, now + 500ms);
+  CHECK(book.Total(target, now + 500ms).requests == 3.0);
+  CHECK(book.Total(target, now + 500ms).TokensBefore(2) == 300.0);
+  CHECK(book.Total(target, now + 500ms).TokensBefore(1) == 0.0);
+  CHECK(book.LivePeers(now + 500ms) == 2);
+  SUBCASE("a silent peer's load is forgotten")
+  {
+    CHECK(book.Total(target, now + 1'200ms).requests == 2.0);
+    CHECK(book.LivePeers(now + 1'200ms) == 1);
+  }
+  SUBCASE("a new report takes the place of the last")
+  {
+    book.SetPeer(core::InstanceId("one"), {}, now + 500ms);
+    CHECK(book.Total(target, now + 500ms).requests == 2.0);
+  }
+  SUBCASE("nothing is left when the work has ended")
+  {
+    book.Remove(target, load);
+    book.Remove(target, load);
+    CHECK(book.Own().empty());
+  }
+}
--- /dev/null
+++ b/tests/src/unit-wire.cpp
@@ -0,0 +1,196 @@
+#include <doctest/doctest.h>
+
+#include "directory_wire.hpp"
+#include "settings.hpp"
+#include "target_wire.hpp"
+
+using namespace plantainslip;          // NOLINT(google-build-using-namespace)
+using namespace plantainslip::serving; // NOLINT(google-build-using-namespace)
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kSettings = R"({
+  "node": "one", "zone": "a", "ip": "10.0.0.1", "internalPorts": [7000, 7010],
+  "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+  "platform": {"address": "10.0.0.9:90"},
+  "bounds": {"graceS": 8, "leaseMs": 3000, "budgetRatio": 0.2, "budgetSlack": 58},
+  "somethingNew": {"x": 1}
+})";
+
+const std::string kConfig = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r", "host": "h.example", "prefix": "/s/", "kind": "stream", "timeoutMs": 8000,
+     "targetLatencyMs": 300, "priority": 1, "service": "m", "attempts": 2,
+     "sessionAffinity": true, "allowResume": true, "targetGapMs": 250},
+    {"name": "q", "host": "h.example", "prefix": "/s/t/", "kind": "safe", "timeoutMs": 800,
+     "targetLatencyMs": 100, "priority": 2, "attempts": 2,
+     "trafficSplit": [{"service": "m", "weight": 90}, {"service": "p", "weight": 10}]}],
+  "services": [
+    {"name": "m", "maxConnections": 630, "engine": {"slots": 128, "kvTokens": 9,
+     "tokenKvBytes": 35136, "handleTtlS": 5.0, "switchS": 3.0}},
+    {"name": "p", "maxConnections": 110}],
+  "limits": {"maxHeaderBytes": 100, "maxBodyBytes": 200, "headerTimeoutMs": 300,
+             "idleTimeoutMs": 400}
+})";
+
+} // namespace
+
+TEST_CASE("the settings file is checked field by field")
+{
+  const auto settings = wire::ParseSettings(kSettings);
+  REQUIRE(settings.ok());
+  CHECK(settings->callers.port == 80);
+  CHECK(settings->peers == net::Address{ "10.0.0.1", 7'000 });
+  CHECK(settings->stopGrace == 8s);
+  CHECK(settings->orderLease == 3s);
+  for (const char* field : { "node",
+                             "zone",
+                             "ip",
+                             "internalPorts",
+                             "front",
+                             "ready",
+                             "address",
+                             "graceS",
+                             "leaseMs" }) {
+    CAPTURE(field);
+    std::string broken = kSettings;
+    const std::string quoted = "\"" + std::string(field) + "\"";
+    broken.replace(broken.find(quoted), quoted.size(), "\"other\"");
+    const auto read = wire::ParseSettings(broken);
+    REQUIRE_FALSE(read.ok());
+    CHECK(std::string(read.status().message()).find(field) != std::string::npos);
+  }
+  CHECK_FALSE(wire::ParseSettings("[]").ok());
+  CHECK_FALSE(wire::ParseSettings("{").ok());
+}
+
+TEST_CASE("a configuration is read into routes and services")
+{
+  const wire::DirectoryWire codec;
+  const auto config = codec.ReadConfig(kConfig);
+  REQUIRE(config.ok());
+  CHECK(config->version.Number() == 7);
+  CHECK(config->limits.idleTimeout == 400ms);
+  SUBCASE("the longest prefix of the host is the route")
+  {
+    CHECK(FindRoute(*config, "h.example", "/s/x")->name == "r");
+    CHECK(FindRoute(*config, "h.example", "/s/t/x?y=/z/")->name == "q");
+    CHECK(FindRoute(*config, "other.example", "/s/x") == nullptr);
+    CHECK(FindRoute(*config, "h.example", "/s") == nullptr);
+  }
+  SUBCASE("a split route chooses by weight, the same for the same request")
+  {
+    const Route* const route = FindRoute(*config, "h.example", "/s/t/x");
+    int first = 0;
+    for (int request = 0; request < 1'000; ++request) {
+      const std::string id = std::to_string(request);
+      const Service* const service = ChooseService(*config, *route, id);
+      CHECK(service == ChooseService(*config, *route, id));
+      first += service->name.Text() == "m" ? 1 : 0;
+    }
+    CHECK(first > 850);
+    CHECK(first < 950);
+  }
+  SUBCASE("what cannot be read is an error")
+  {
+    CHECK_FALSE(codec.ReadConfig("{").ok());
+    CHECK_FALSE(codec.ReadConfig(R"({"version": "x", "routes": [], "services": []})").ok());
+    CHECK_FALSE(codec.ReadConfig(R"({"version": 1, "routes": [{}], "services": []})").ok());
+  }
+}
+
+TEST_CASE("a directory entry with a wrong field names no target")
+{
+  const wire::DirectoryWire codec;
+  const std::string good =
+    R"({"service": "m", "address": "10.0.0.2:8080", "zone": "a", "slots": 8, "state": "ready",
+        "stage": "decode", "born": 12})";
+  const auto target = codec.ReadTarget("servers/i-1", good);
+  REQUIRE(target.ok());
+  CHECK(target->id == core::TargetId("i-1"));
+  CHECK(target->stage == EngineStage::kDecode);
+  CHECK(target->startedAt == 12);
+  for (const auto& [from, to] : std::map<std::string, std::string>{ { "\"m\"", "1" },
+                                                                    { "10.0.0.2:8080", "nowhere" },
+                                                                    { "\"a\"", "null" },
+                                                                    { "8,", "\"8\"," },
+                                                                    { "\"ready\"", "\"odd\"" },
+                                                                    { "{", "[" } }) {
+    CAPTURE(from);
+    std::string broken = good;
+    broken.replace(broken.find(from), from.size(), to);
+    CHECK_FALSE(codec.ReadTarget("servers/i-1", broken).ok());
+  }
+}
+
+TEST_CASE("what callers may not set is not passed on")
+{
+  const wire::TargetWire protocol;
+  for (const char* name : { "X-Kv-Source",
+                            "x-kv-hold",
+                            "X-Pin-Ms",
+                            "X-Kv-Backup",
+                            "X-Serving-Stage",
+                            "Kv-Fetch",
+                            "X-Expect-Instance",
+                            "X-Expect-Version",
+                            "X-Request-Priority",
+                            "X-Deadline-Ms" }) {
+    CAPTURE(name);
+    CHECK(protocol.IsReserved(name));
+  }
+  CHECK_FALSE(protocol.IsReserved("X-Request-Id"));
+  CHECK_FALSE(protocol.IsReserved("Last-Event-Id"));
+}
+
+TEST_CASE("what a caller says of its prompt is read, and bad values count as absent")
+{
+  const wire::TargetWire protocol;
+  const HeaderList headers = { { "x-request-id", "r1" },
+                               { "X-Model-Id", "m" },
+                               { "X-Token-Usage", "1460,80" },
+                               { "X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250" },
+                               { "X-Deadline-Ms", "1500" } };
+  const RequestFacts facts = protocol.ReadRequest(headers);
+  CHECK(facts.id.Text() == "r1");
+  CHECK(facts.timeLeft == 1'500ms);
+  REQUIRE(facts.prompt.has_value());
+  CHECK(facts.prompt->promptTokens == 1'460);
+  CHECK(SharedTokens(*facts.prompt) == 1'210);
+  CHECK(OwnTokens(*facts.prompt) == 250);
+  CHECK(SharedKey(*facts.prompt) == 0x91bd3f06);
+  const RequestFacts bad = protocol.ReadRequest(
+    { { "X-Model-Id", "m" }, { "X-Token-Usage", "many" }, { "X-Deadline-Ms", "-4" } });
+  CHECK_FALSE(bad.prompt.has_value());
+  CHECK_FALSE(bad.timeLeft.has_value());
+}
+
+TEST_CASE("an attempt carries what the target has to know")
+{
+  const wire::TargetWire protocol;
+  AttemptPlan plan;
+  plan.step = AttemptStep::kDecode;
+  plan.target = core::TargetId("i-1");
+  plan.timeLeft = 900ms;
+  plan.priority = 12;
+  plan.handleAt = { "10.0.0.2", 8080 };
+  plan.handle = "abc";
+  const HeaderList headers = protocol.AttemptHeaders(plan);
+  CHECK(*FindHeader(headers, "X-Kv-Source") == "10.0.0.2:8080/abc");
+  CHECK(*FindHeader(headers, "X-Request-Priority") == "9");
+  CHECK(*FindHeader(headers, "X-Deadline-Ms") == "900");
+  CHECK(*FindHeader(headers, "X-Expect-Instance") == "i-1");
+  CHECK(FindHeader(headers, "X-Serving-Stage") == nullptr);
+  CHECK(protocol.RetryAfter(250ms).value == "0.250");
+}
+
+TEST_CASE("only a target's own statement says that a request has not run")
+{
+  const wire::TargetWire protocol;
+  CHECK(protocol.ReadAnswer(503, { { "X-Not-Run", "1" } }).notRun);
+  CHECK(protocol.ReadAnswer(421, {}).notRun);
+  CHECK_FALSE(protocol.ReadAnswer(503, {}).notRun);
+  CHECK_FALSE(protocol.ReadAnswer(500, {}).notRun);
+}
