--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,8 +17,11 @@
   exit 1
 fi
 cmake -S . -B build -G Ninja -DPLANTAINSLIP_BUILD_BENCH=ON >/dev/null
-[ $# -gt 0 ] || set -- "^$PWD/(src|apps|tests|examples|bench)/"
-run-clang-tidy -quiet -p build -j "$(nproc)" "$@" >build/tidy.log 2>&1 || {
+[ $# -gt 0 ] || set -- "^$PWD/(src|platform|apps|tests|examples|bench)/"
+# Clang 14 has coroutines, but does not name them as libstdc++ 12 and Boost 1.74 expect.
+run-clang-tidy -quiet -p build -j "$(nproc)" \
+  -extra-arg=-D__cpp_impl_coroutine=201902L -extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 \
+  -extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1 "$@" >build/tidy.log 2>&1 || {
   grep -E "error:|warning:" build/tidy.log | sort -u
   exit 1
 }
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -61,6 +61,11 @@
     kCallerGone,
   };
 
+  milliseconds Elapsed() const;
+  std::optional<PrefillPlace> Place() const;
+  Task<bool> SendPrompt(const PrefillPlace& aPlace,
+                        const TargetLoad& aEngineLoad,
+                        Attempt& aAttempt);
   Task<PrefillEnd> Prefill();
   Task<void> Decode();
   Task<StreamEnd> Relay(AttemptCall& aCall, const Attempt& aAttempt);
@@ -78,8 +83,6 @@
   PathRequest& request;
   const PromptFacts& prompt;
   std::optional<HeldPrompt> held;
-  /// Whether the next sending lets the engine read the prompt itself.
-  bool withoutHandle = false;
   EventStream events;
   TriedTargets decodeTried;
 };
@@ -139,29 +142,79 @@
   }
 }
 
+std::optional<PrefillPlace>
+Completion::Place() const
+{
+  TriedTargets tried = this->request.sentTo;
+  tried.insert(tried.end(), this->request.unreachable.begin(), this->request.unreachable.end());
+  return ChoosePrefill(this->context.View(),
+                       this->request.service.name,
+                       this->prompt,
+                       this->request.route.objective - this->Elapsed(),
+                       tried);
+}
+
+milliseconds
+Completion::Elapsed() const
+{
+  return std::chrono::duration_cast<milliseconds>(this->context.clock.Now() -
+                                                  this->request.caller.arrival);
+}
+
+// Sends the prompt once. True if its cache is held; else the attempt says why not.
+Task<bool>
+Completion::SendPrompt(const PrefillPlace& aPlace, const TargetLoad& aEngineLoad, Attempt& aAttempt)
+{
+  const auto started = this->context.clock.Now();
+  const double queued = aEngineLoad.TokensBefore(aPlace.priority);
+  const LoadScope load(
+    this->context.loads, aPlace.target.id, PromptLoad(aPlace.priority, aPlace.tokens));
+  AttemptCall call(this->context, this->request, aPlace.target);
+  AttemptPlan plan;
+  plan.step = AttemptStep::kPrefill;
+  plan.priority = aPlace.priority;
+  plan.fetchFrom = aPlace.fetchFrom;
+  const auto limit = std::max(kShortestPrefillLimit,
+                              aPlace.wait + aPlace.reading * kPrefillPatience + kPrefillSlack);
+  aAttempt = co_await call.Open(plan, limit);
+  const auto took = std::chrono::duration_cast<milliseconds>(this->context.clock.Now() - started);
+  this->request.prefillTook = took;
+  this->request.prefillEngine = aPlace.target.id;
+  this->request.prefillPriority = aPlace.priority;
+  this->request.engineTokens = aEngineLoad.TokensBefore(kPriorityLevels - 1);
+  this->request.prefillWait = aPlace.wait;
+  this->request.prefillReading = aPlace.reading;
+  this->RecordPrefill(aPlace, aAttempt, took, queued);
+  if (aAttempt.state != AttemptState::kAnswered || aAttempt.head.status != kOk) {
+    co_return false;
+  }
+  const auto body = co_await call.ReadAll();
+  const auto result = body.ok() ? this->context.protocol.ReadPrefill(*body)
+                                : absl::StatusOr<PrefillResult>(body.status());
+  if (!result.ok()) {
+    aAttempt.detail = std::string(result.status().message());
+    co_return false;
+  }
+  call.Finish();
+  this->held = HeldPrompt{ aPlace.target, result->handle };
+  co_return true;
+}
+
 Task<Completion::PrefillEnd>
 Completion::Prefill()
 {
   while (true) {
-    TriedTargets tried = this->request.sentTo;
-    tried.insert(tried.end(), this->request.unreachable.begin(), this->request.unreachable.end());
-    const auto started = this->context.clock.Now();
-    const auto elapsed =
-      std::chrono::duration_cast<milliseconds>(started - this->request.caller.arrival);
-    const auto place = ChoosePrefill(this->context.View(),
-                                     this->request.service.name,
-                                     this->prompt,
-                                     this->request.route.objective - elapsed,
-                                     tried);
+    const auto place = this->Place();
     if (!place.has_value()) {
       co_return PrefillEnd::kNoEngine;
     }
-    if (const auto wait = DecideRefusal(this->request.route, *place, elapsed)) {
+    if (const auto wait = DecideRefusal(this->request.route, *place, this->Elapsed())) {
       std::string reason = "queue_too_long";
       co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), *wait);
       co_return PrefillEnd::kEnded;
     }
-    const TargetLoad engineLoad = this->context.loads.Total(place->target.id, started);
+    const TargetLoad engineLoad =
+      this->context.loads.Total(place->target.id, this->context.clock.Now());
     if (!SendsNow(engineLoad.TokensBefore(kPriorityLevels - 1), place->priority)) {
       co_await Pause(kRecheckInterval, this->request.cancellation);
       if (this->request.cancellation.Reason().has_value()) {
@@ -171,41 +224,15 @@
       }
       continue;
     }
-    const double queued = engineLoad.TokensBefore(place->priority);
-    const LoadScope load(
-      this->context.loads, place->target.id, PromptLoad(place->priority, place->tokens));
-    AttemptCall call(this->context, this->request, place->target);
-    AttemptPlan plan;
-    plan.step = AttemptStep::kPrefill;
-    plan.priority = place->priority;
-    plan.fetchFrom = place->fetchFrom;
-    const auto limit = std::max(kShortestPrefillLimit,
-                                place->wait + place->reading * kPrefillPatience + kPrefillSlack);
-    Attempt attempt = co_await call.Open(plan, limit);
-    const auto took = std::chrono::duration_cast<milliseconds>(this->context.clock.Now() - started);
-    this->request.prefillTook = took;
-    this->request.prefillEngine = place->target.id;
-    this->request.prefillPriority = place->priority;
-    this->request.engineTokens = engineLoad.TokensBefore(kPriorityLevels - 1);
-    this->request.prefillWait = place->wait;
-    this->request.prefillReading = place->reading;
-    this->RecordPrefill(*place, attempt, took, queued);
-    if (attempt.state == AttemptState::kAnswered && attempt.head.status == kOk) {
-      const auto body = co_await call.ReadAll();
-      const auto result = body.ok() ? this->context.protocol.ReadPrefill(*body)
-                                    : absl::StatusOr<PrefillResult>(body.status());
-      if (result.ok()) {
-        call.Finish();
-        this->held = HeldPrompt{ place->target, result->handle };
-        // A first prefill counts neither as an attempt nor as a target that the request was sent
-        // to.
-        if (this->request.attempts == 1) {
-          this->request.attempts = 0;
-          this->request.sentTo.clear();
-        }
-        co_return PrefillEnd::kHeld;
+    Attempt attempt;
+    const bool sent = co_await this->SendPrompt(*place, engineLoad, attempt);
+    if (sent) {
+      // A first prefill counts neither as an attempt nor as a target that the request was sent to.
+      if (this->request.attempts == 1) {
+        this->request.attempts = 0;
+        this->request.sentTo.clear();
       }
-      attempt.detail = std::string(result.status().message());
+      co_return PrefillEnd::kHeld;
     }
     if (attempt.state == AttemptState::kNotSent) {
       this->request.unreachable.push_back(place->target.id);
--- a/src/serving/stage_plan.cpp
+++ b/src/serving/stage_plan.cpp
@@ -47,9 +47,9 @@
     return {};
   }
   const std::size_t wanted = std::clamp<std::size_t>(aWanted, 1, count - 1);
-  const auto decoding =
-    static_cast<std::size_t>(std::count_if(aEngines.begin(), aEngines.end(), [](const Target* a) {
-      return a->stage == EngineStage::kDecode;
+  const auto decoding = static_cast<std::size_t>(
+    std::count_if(aEngines.begin(), aEngines.end(), [](const Target* aEngine) {
+      return aEngine->stage == EngineStage::kDecode;
     }));
   const bool tooMany = decoding > wanted;
   const std::size_t away = tooMany ? decoding - wanted : wanted - decoding;
--- a/tests/src/unit-wire.cpp
+++ b/tests/src/unit-wire.cpp
@@ -120,9 +120,10 @@
                                                                     { "8,", "\"8\"," },
                                                                     { "\"ready\"", "\"odd\"" },
                                                                     { "{", "[" } }) {
-    CAPTURE(from);
+    const std::string replaced = from;
+    CAPTURE(replaced);
     std::string broken = good;
-    broken.replace(broken.find(from), from.size(), to);
+    broken.replace(broken.find(replaced), replaced.size(), to);
     CHECK_FALSE(codec.ReadTarget("servers/i-1", broken).ok());
   }
 }
