--- a/tests/fakes/wire_store.cpp
+++ b/tests/fakes/wire_store.cpp
@@ -91,6 +91,14 @@
   return found == this->items.end() || found->second.removed ? "" : found->second.value;
 }
 
+std::size_t
+WireStore::WatchesOf(const std::string& aPrefix) const
+{
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->watches.find(aPrefix);
+  return found == this->watches.end() ? 0 : found->second;
+}
+
 void
 WireStore::SetMode(Mode aMode)
 {
@@ -204,6 +212,10 @@
   const std::uint64_t after = std::stoull(Parameter(aTarget, "after"));
   const auto until =
     this->clock.Now() + std::chrono::milliseconds(std::stoll(Parameter(aTarget, "waitMs")));
+  {
+    const std::scoped_lock lock(this->mutex);
+    ++this->watches[prefix];
+  }
   int status = 200;
   std::string body;
   while (body.empty() && status == 200) {
--- a/tests/fakes/wire_store.hpp
+++ b/tests/fakes/wire_store.hpp
@@ -40,6 +40,9 @@
   /// @brief Gives the value of a key, or an empty text.
   std::string Get(const std::string& aKey) const;
 
+  /// @brief Counts the watches of a prefix so far.
+  std::size_t WatchesOf(const std::string& aPrefix) const;
+
   /// @brief Changes how calls are answered.
   void SetMode(Mode aMode);
 
@@ -69,6 +72,7 @@
   std::uint64_t revision = 1;
   std::uint64_t historyFrom = 0;
   std::uint64_t nextLease = 1;
+  std::map<std::string, std::size_t> watches;
   Mode mode = Mode::kWell;
   serving::asio::io_context& context;
   core::SystemClock clock;
--- a/tests/src/process-wire-path.cpp
+++ b/tests/src/process-wire-path.cpp
@@ -291,6 +291,40 @@
   ready.fleet.AwaitServed("/none/x", 404);
 }
 
+TEST_CASE("a series of changes costs few calls to the store")
+{
+  ReadyFleet ready;
+  const std::size_t before = ready.fleet.Store().WatchesOf("servers/");
+  constexpr int kChanges = 60;
+  for (int change = 0; change < kChanges; ++change) {
+    ready.fleet.Store().Put("servers/i-odd-" + std::to_string(change), "{}");
+    // A call between two changes, so that they do not come as one.
+    CHECK(ready.fleet.Call("GET", "/look/x", "c" + std::to_string(change)).status == 200);
+  }
+  fakes::WireTarget& next = ready.fleet.AddTarget("i-s2", "desk", "");
+  AwaitBoth(ready, ready.desk, next, "desk", "");
+  // Ten for the changes of this test itself and of slow machines; one for each change were 60.
+  CHECK(ready.fleet.Store().WatchesOf("servers/") - before <= 10);
+}
+
+TEST_CASE("the instance with the lease orders engines into both stages, fenced and in order")
+{
+  WireFleet fleet;
+  fakes::WireTarget& first = fleet.AddTarget("i-1", "models", "decode");
+  fakes::WireTarget& second = fleet.AddTarget("i-2", "models", "decode");
+  fleet.Configure(3);
+  fleet.StartGateway();
+  Await("an order", [&] { return first.Orders().size() + second.Orders().size() > 0; });
+  CHECK(first.Orders().size() + second.Orders().size() == 1);
+  const std::string order =
+    first.Orders().empty() ? second.Orders().front() : first.Orders().front();
+  CHECK(order.find("\"operation\":\"stage\"") != std::string::npos);
+  CHECK(order.find("\"stage\":\"prefill\"") != std::string::npos);
+  CHECK(order.find("\"precondition\":0") != std::string::npos);
+  CHECK(order.find("\"fencingToken\":") != std::string::npos);
+  CHECK(fleet.Store().Get("plantainslip/leader") == "one-0");
+}
+
 TEST_CASE("a stop lets open requests end and tells callers to go elsewhere")
 {
   ReadyFleet ready;
