--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -145,13 +145,11 @@
 std::optional<PrefillPlace>
 Completion::Place() const
 {
-  TriedTargets tried = this->request.sentTo;
-  tried.insert(tried.end(), this->request.unreachable.begin(), this->request.unreachable.end());
   return ChoosePrefill(this->context.View(),
                        this->request.service.name,
                        this->prompt,
                        this->request.route.objective - this->Elapsed(),
-                       tried);
+                       AllTried(this->request));
 }
 
 milliseconds
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -141,6 +141,15 @@
   core::MonotonicTime lastPieceAt = {};
 };
 
+/// @brief Gives the targets that a request is not to go to again: sent to, or not reached.
+inline TriedTargets
+AllTried(const PathRequest& aRequest)
+{
+  TriedTargets tried = aRequest.sentTo;
+  tried.insert(tried.end(), aRequest.unreachable.begin(), aRequest.unreachable.end());
+  return tried;
+}
+
 /// @brief Counts work at a target as long as the scope lives.
 class LoadScope
 {
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -32,14 +32,6 @@
 /// Part of the time left that a first idempotent attempt may take before another target is tried.
 constexpr double kFirstAttemptShare = 0.45;
 
-TriedTargets
-AllTried(const PathRequest& aRequest)
-{
-  TriedTargets tried = aRequest.sentTo;
-  tried.insert(tried.end(), aRequest.unreachable.begin(), aRequest.unreachable.end());
-  return tried;
-}
-
 AttemptResult
 ResultOf(const Attempt& aAttempt)
 {
