Let two instances a zone follow the store, and the others read changes from peers

Change: the two instances of a zone with the widest links follow the store (watch_duty). Datagrams carry the revisions that the sender knows and the age of the store's last confirmation. An instance that hears of a newer revision reads the changes from that peer, from a copy that each instance keeps (replica, store_follower), and from the store if the peer does not give them. An instance follows the store itself if nobody has confirmed its state for 2.5 s, or if the watchers of its zone fall silent.

Ruled out: waiting reads at a chosen peer (a second connection to keep and to fail over, where the datagrams exist already); handing on the changes in the datagrams (a configuration of 1,400 routes does not fit).

Tests: unit-watch-duty (decision, replica, encoding, a property over random changes), and three process tests with three instances: changes by peers, taking over, and answers for unknown routes.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -111,6 +111,10 @@
 Gateway::Take(serving::ControlNews aNews)
 {
   const bool first = this->path.fleet->config == nullptr && aNews.fleet->config != nullptr;
+  if (aNews.fleet->configRevision > this->path.fleet->configRevision ||
+      aNews.fleet->targetsRevision > this->path.fleet->targetsRevision) {
+    this->metrics.Count("store_changes_total", aNews.announce ? "store" : "peer");
+  }
   this->path.fleet = std::move(aNews.fleet);
   this->path.confirmedAt = aNews.confirmedAt;
   if (this->path.fleet->config != nullptr) {
@@ -130,8 +134,9 @@
     }
     this->changingTargets = aNews.changing;
   }
-  const std::size_t peers = this->path.loads.LivePeers(this->clock.Now());
-  asio::post(this->control, [this, peers] { this->controller->NotePeers(peers); });
+  if (aNews.announce) {
+    this->exchange->Announce();
+  }
 }
 
 absl::Status
@@ -142,6 +147,7 @@
                                     this->settings.zone };
   serving::ControlOptions options;
   options.self = self;
+  options.linkMbps = this->settings.linkMbps;
   options.leaseDuration = this->settings.orderLease;
   this->controller = std::make_unique<serving::Control>(
     this->control,
@@ -154,11 +160,16 @@
       asio::post(this->traffic,
                  [this, news = std::move(aNews)]() mutable { this->Take(std::move(news)); });
     });
-  auto opened = serving::LoadExchange::Open(
-    this->traffic, self, this->path, [this](core::Revision aConfig, core::Revision aTargets) {
-      asio::post(this->control,
-                 [this, aConfig, aTargets] { this->controller->NoteRevisions(aConfig, aTargets); });
-    });
+  auto opened =
+    serving::LoadExchange::Open(this->traffic,
+                                self,
+                                this->settings.linkMbps,
+                                this->path,
+                                [this](std::vector<serving::PeerStanding> aPeers) {
+                                  asio::post(this->control, [this, peers = std::move(aPeers)] {
+                                    this->controller->NotePeers(peers);
+                                  });
+                                });
   if (!opened.ok()) {
     return opened.status();
   }
@@ -260,7 +271,9 @@
   core::Log(core::LogLevel::kInfo, "started", { { "callers", this->settings.callers.Text() } });
   asio::co_spawn(
     this->traffic, [this]() -> Task<void> { return this->AwaitStop(); }, asio::detached);
-  this->controller->Start();
+  if (const absl::Status started = this->controller->Start(); !started.ok()) {
+    return started;
+  }
   std::jthread controlThread([this] { this->control.run(); });
   this->traffic.run();
   this->control.stop();
--- a/include/plantainslip/serving/directory.hpp
+++ b/include/plantainslip/serving/directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -32,8 +33,12 @@
   ///        new work.
   static constexpr milliseconds kLapseGrace{ 1'900 };
 
-  /// @brief Notes that the store failed a call.
-  void NoteOutage(core::MonotonicTime aNow) { this->outageAt = aNow; }
+  /// @brief Notes that the store failed a call, of this instance or of the one that told of a
+  /// change.
+  void NoteOutage(core::MonotonicTime aAt)
+  {
+    this->outageAt = std::max(this->outageAt.value_or(aAt), aAt);
+  }
 
   /// @brief Takes in one change. Logarithmic in the number of targets.
   /// @return true if the usable targets have changed
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -14,8 +14,13 @@
   core::InstanceId sender;
   /// @brief Grows with each message of a sender's process, so that old ones are told apart.
   std::uint64_t sequence = 0;
+  core::ZoneId zone;
+  /// @brief Bandwidth of the sender's link in megabits a second.
+  double linkMbps = 0.0;
   core::Revision configRevision;
   core::Revision targetsRevision;
+  /// @brief Age of the store's last confirmation that these revisions are the newest.
+  milliseconds confirmedAge{ 0 };
   /// @brief What the sender has sent to targets and is not yet answered.
   LoadTable loads;
 };
--- a/src/serving/async_store.hpp
+++ b/src/serving/async_store.hpp
@@ -6,33 +6,12 @@
 
 #include <absl/status/statusor.h>
 
-#include <plantainslip/core/ids.hpp>
+#include <plantainslip/serving/store_items.hpp>
 
 #include "asio.hpp"
 
 namespace plantainslip::serving {
 
-/// @brief A lease of the store; its keys vanish when it ends.
-using LeaseId = core::StrongNumber<struct LeaseIdTag>;
-
-/// @brief One key of the store, or its removal.
-struct StoreItem
-{
-  std::string key;
-  std::string value;
-  /// @brief Revision of the last change of this key.
-  core::Revision revision;
-  LeaseId lease;
-  bool removed = false;
-};
-
-/// @brief Items or changes, and the revision of the store that they reach up to.
-struct StoreItems
-{
-  std::vector<StoreItem> items;
-  core::Revision upTo;
-};
-
 /// @brief Whether a read may be seconds old, which costs a tenth.
 enum class Freshness
 {
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -9,27 +9,29 @@
 
 namespace {
 
-/// Watches end after about this time for each live peer, so that in the whole fleet one ends about
-/// every second and a connection that went silent is noticed by somebody.
-constexpr milliseconds kWatchPerPeer{ 1'000 };
-constexpr milliseconds kShortestWatch{ 2'000 };
-constexpr milliseconds kLongestWatch{ 20'000 };
-/// Pauses between calls to a store that fails, doubled from the first to the last.
-constexpr milliseconds kFirstPause{ 100 };
-constexpr milliseconds kLastPause{ 800 };
-/// Renewals cost a hundredth of a read, and confirm that the store is in touch.
-constexpr milliseconds kRenewInterval{ 1'000 };
+/// Renewals cost a tenth of a read. Those of an instance that follows the store also confirm that
+/// what it knows is the newest, for all its peers.
+constexpr milliseconds kFollowingRenewal{ 1'000 };
+constexpr milliseconds kRenewal{ 2'500 };
+/// Three renewals may fail.
 constexpr milliseconds kEntryDuration{ 8'000 };
-constexpr milliseconds kPeerReadInterval{ 4'000 };
+/// Peers make themselves known by their messages; the list is for those that cannot be heard yet.
+constexpr milliseconds kFirstPeerRead{ 1'000 };
+constexpr milliseconds kFollowingPeerRead{ 4'000 };
+constexpr milliseconds kPeerRead{ 20'000 };
 constexpr milliseconds kLapseCheckInterval{ 200 };
-/// How long a change that a peer has seen may take to come by the own watch.
-constexpr milliseconds kPeerNewsPatience{ 900 };
 /// Changes come in series; each call costs, and both bounds are seconds.
 constexpr milliseconds kGatherConfigs{ 150 };
 constexpr milliseconds kGatherTargets{ 350 };
 
 const std::string kInstancePrefix = "plantainslip/instances/";
 
+std::string
+OriginName(ChangeOrigin aOrigin)
+{
+  return aOrigin == ChangeOrigin::kStore ? "store" : "peer";
+}
+
 } // namespace
 
 Control::Control(asio::io_context& aContext,
@@ -47,29 +49,42 @@
   , options(std::move(aOptions))
   , publish(std::move(aPublish))
   , random(core::MakeSeed())
+  , configFollower(aContext,
+                   aStore,
+                   aPool,
+                   aClock,
+                   aCodec.ConfigKey(),
+                   kGatherConfigs,
+                   [this](const FollowedChanges& aChanges) { this->ApplyConfig(aChanges); })
+  , targetFollower(aContext,
+                   aStore,
+                   aPool,
+                   aClock,
+                   aCodec.TargetPrefix(),
+                   kGatherTargets,
+                   [this](const FollowedChanges& aChanges) { this->ApplyTargets(aChanges); })
 {
-  this->configFollowing.gather = kGatherConfigs;
-  this->targetFollowing.gather = kGatherTargets;
-  this->configFollowing.prefix = this->codec.ConfigKey();
-  this->configFollowing.apply = [this](const StoreItems& aItems, bool aAll) {
-    this->ApplyConfig(aItems, aAll);
-  };
-  this->targetFollowing.prefix = this->codec.TargetPrefix();
-  this->targetFollowing.apply = [this](const StoreItems& aItems, bool aAll) {
-    this->ApplyTargets(aItems, aAll);
-  };
 }
 
-void
+absl::Status
 Control::Start()
 {
+  auto door = OpenChangesDoor(this->context,
+                              this->options.self.address,
+                              this->clock,
+                              { &this->configFollower, &this->targetFollower });
+  if (!door.ok()) {
+    return door.status();
+  }
+  this->changesDoor = std::move(*door);
   const auto run = [this](auto aLoop) { asio::co_spawn(this->context, aLoop, asio::detached); };
-  run([this]() -> Task<void> { return this->Follow(this->configFollowing); });
-  run([this]() -> Task<void> { return this->Follow(this->targetFollowing); });
+  run([this]() -> Task<void> { return this->configFollower.Run(); });
+  run([this]() -> Task<void> { return this->targetFollower.Run(); });
   run([this]() -> Task<void> { return this->KeepEntry(); });
   run([this]() -> Task<void> { return this->ReadPeers(); });
   run([this]() -> Task<void> { return this->ExpireLapsed(); });
   run([this]() -> Task<void> { return this->Lead(); });
+  return absl::OkStatus();
 }
 
 Task<void>
@@ -80,109 +95,66 @@
   co_await timer.async_wait(Into(ignored));
 }
 
-milliseconds
-Control::WatchTime()
-{
-  const auto longest =
-    std::clamp(kWatchPerPeer * static_cast<long>(this->livePeers), kShortestWatch, kLongestWatch);
-  return milliseconds(static_cast<std::int64_t>(static_cast<double>(longest.count()) *
-                                                (0.5 + 0.5 * this->random.Fraction())));
-}
-
-Task<bool>
-Control::FollowOnce(Following& aFollowing)
+PeerStanding
+Control::OwnStanding() const
 {
-  const bool all = aFollowing.needsAll;
-  absl::StatusOr<StoreItems> items;
-  if (all) {
-    items = co_await this->store.List(aFollowing.prefix, Freshness::kNewest);
-  } else {
-    const auto wait = this->WatchTime();
-    aFollowing.due = this->clock.Now() + wait;
-    items = co_await this->store.Watch(aFollowing.prefix, aFollowing.upTo, wait);
-  }
-  if (core::IsError(items.status(), errors::kHistoryGone)) {
-    core::Log(core::LogLevel::kInfo, "history gone", { { "prefix", aFollowing.prefix } });
-    aFollowing.needsAll = true;
-    co_return true;
-  }
-  if (!items.ok()) {
-    if (!aFollowing.lossLogged) {
-      aFollowing.lossLogged = true;
-      core::Log(
-        core::LogLevel::kWarning,
-        "store lost",
-        { { "prefix", aFollowing.prefix }, { "error", std::string(items.status().message()) } });
-    }
-    aFollowing.healthy = false;
-    this->directory.NoteOutage(this->clock.Now());
-    co_return false;
-  }
-  if (!aFollowing.healthy) {
-    core::Log(
-      core::LogLevel::kInfo,
-      "store in touch",
-      { { "prefix", aFollowing.prefix }, { "revision", std::to_string(items->upTo.Number()) } });
-  }
-  aFollowing.healthy = true;
-  aFollowing.lossLogged = false;
-  aFollowing.needsAll = false;
-  aFollowing.upTo = std::max(aFollowing.upTo, items->upTo);
-  aFollowing.apply(*items, all);
-  if (!items->items.empty()) {
-    co_await this->Sleep(aFollowing.gather);
-  }
-  co_return true;
+  PeerStanding standing;
+  standing.id = this->options.self.id;
+  standing.zone = this->options.self.zone;
+  standing.address = this->options.self.address;
+  standing.linkMbps = this->options.linkMbps;
+  standing.confirmedAt = this->confirmedAt;
+  standing.configRevision = this->configRevision;
+  standing.targetsRevision = this->targetsRevision;
+  return standing;
 }
 
-Task<void>
-Control::Follow(Following& aFollowing)
+void
+Control::Confirm(core::MonotonicTime aAt)
 {
-  milliseconds pause = kFirstPause;
-  while (true) {
-    if (co_await this->FollowOnce(aFollowing)) {
-      pause = kFirstPause;
-      continue;
-    }
-    co_await this->Sleep(pause);
-    pause = std::min(pause * 2, kLastPause);
+  if (aAt > this->confirmedAt) {
+    this->confirmedAt = aAt;
+    this->PublishNews();
   }
 }
 
-Task<void>
-Control::CatchUp(Following& aFollowing, core::Revision aSeen)
+void
+Control::NotePeers(const std::vector<PeerStanding>& aPeers)
 {
-  co_await this->Sleep(kPeerNewsPatience);
-  aFollowing.catchingUp = false;
-  if (aFollowing.upTo >= aSeen) {
-    co_return;
+  const core::MonotonicTime now = this->clock.Now();
+  for (const PeerStanding& peer : aPeers) {
+    const bool near = peer.zone == this->options.self.zone;
+    this->configFollower.NoteSeen(peer.configRevision, peer.address, near);
+    this->targetFollower.NoteSeen(peer.targetsRevision, peer.address, near);
   }
-  const auto items = co_await this->store.List(aFollowing.prefix, Freshness::kNewest);
-  if (items.ok()) {
-    aFollowing.apply(*items, true);
+  this->livePeers = static_cast<std::size_t>(std::count_if(
+    aPeers.begin(), aPeers.end(), [&](const auto& aPeer) { return IsAlive(aPeer, now); }));
+  this->Confirm(ConfirmedByPeers(this->OwnStanding(), aPeers, now));
+  const WatchDuty decided = DecideWatchDuty(this->OwnStanding(), aPeers, now);
+  if (decided.watches != this->duty.watches) {
+    core::Log(core::LogLevel::kInfo,
+              decided.watches ? "following the store" : "leaving the store to peers",
+              { { "watchers", std::to_string(decided.watchers) },
+                { "peers", std::to_string(this->livePeers) },
+                { "confirmed_ms_ago",
+                  std::to_string(
+                    std::chrono::duration_cast<milliseconds>(now - this->confirmedAt).count()) } });
   }
+  this->duty = decided;
+  this->configFollower.SetDuty(decided);
+  this->targetFollower.SetDuty(decided);
 }
 
-void
-Control::NoteRevisions(core::Revision aConfig, core::Revision aTargets)
+bool
+Control::Follows() const
 {
-  const auto check = [this](Following& aFollowing, core::Revision aOwn, core::Revision aSeen) {
-    if (aSeen > aOwn && aSeen > aFollowing.upTo && !aFollowing.catchingUp) {
-      aFollowing.catchingUp = true;
-      asio::co_spawn(
-        this->context,
-        [this, &aFollowing, aSeen]() -> Task<void> { return this->CatchUp(aFollowing, aSeen); },
-        asio::detached);
-    }
-  };
-  check(this->configFollowing, this->configRevision, aConfig);
-  check(this->targetFollowing, this->targetsRevision, aTargets);
+  return this->configFollower.InTouch() && this->targetFollower.InTouch();
 }
 
 void
-Control::ApplyConfig(const StoreItems& aItems, bool /*aAll*/)
+Control::ApplyConfig(const FollowedChanges& aChanges)
 {
-  for (const StoreItem& item : aItems.items) {
+  for (const StoreItem& item : aChanges.items.items) {
     if (item.key != this->codec.ConfigKey() || item.removed ||
         item.revision <= this->configRevision) {
       continue;
@@ -201,16 +173,20 @@
               "configuration in force",
               { { "version", std::to_string(this->config->version.Number()) },
                 { "revision", std::to_string(item.revision.Number()) },
-                { "routes", std::to_string(this->config->routes.size()) } });
-    this->PublishNews();
+                { "routes", std::to_string(this->config->routes.size()) },
+                { "origin", OriginName(aChanges.origin) } });
+    this->PublishNews(aChanges.origin == ChangeOrigin::kStore);
   }
 }
 
 void
-Control::ApplyTargets(const StoreItems& aItems, bool aAll)
+Control::ApplyTargets(const FollowedChanges& aChanges)
 {
+  if (aChanges.outageAt.has_value()) {
+    this->directory.NoteOutage(*aChanges.outageAt);
+  }
   std::vector<DirectoryChange> changes;
-  for (const StoreItem& item : aItems.items) {
+  for (const StoreItem& item : aChanges.items.items) {
     DirectoryChange change;
     change.id = core::TargetId(item.key.substr(this->codec.TargetPrefix().size()));
     change.revision = item.revision;
@@ -231,8 +207,8 @@
   const core::MonotonicTime now = this->clock.Now();
   const std::size_t before = this->directory.Targets().size();
   bool changed = false;
-  if (aAll) {
-    changed = this->directory.ApplyAll(changes, aItems.upTo, now);
+  if (aChanges.whole) {
+    changed = this->directory.ApplyAll(changes, aChanges.items.upTo, now);
   } else {
     for (const DirectoryChange& change : changes) {
       changed = this->directory.Apply(change, now) || changed;
@@ -245,8 +221,9 @@
     core::Log(core::LogLevel::kInfo,
               "targets changed",
               { { "targets", std::to_string(this->directory.Targets().size()) },
-                { "revision", std::to_string(this->targetsRevision.Number()) } });
-    this->PublishNews();
+                { "revision", std::to_string(this->targetsRevision.Number()) },
+                { "origin", OriginName(aChanges.origin) } });
+    this->PublishNews(aChanges.origin == ChangeOrigin::kStore);
   }
 }
 
@@ -262,7 +239,7 @@
 }
 
 void
-Control::PublishNews()
+Control::PublishNews(bool aAnnounce)
 {
   auto fleet = std::make_shared<FleetSnapshot>();
   fleet->config = this->config;
@@ -273,6 +250,7 @@
   news.fleet = std::move(fleet);
   news.confirmedAt = this->confirmedAt;
   news.peers = this->peers;
+  news.announce = aAnnounce;
   for (const auto& [id, change] : this->ordered) {
     news.changing.push_back(id);
   }
@@ -311,14 +289,10 @@
   while (true) {
     const core::MonotonicTime before = this->clock.Now();
     const bool inTouch = co_await this->EnsureEntry();
-    const auto onTime = [&](const Following& aFollowing) {
-      return aFollowing.healthy && this->clock.Now() < aFollowing.due + kRenewInterval;
-    };
-    if (inTouch && onTime(this->configFollowing) && onTime(this->targetFollowing)) {
-      this->confirmedAt = before;
-      this->PublishNews();
+    if (inTouch && this->Follows()) {
+      this->Confirm(before);
     }
-    co_await this->Sleep(kRenewInterval);
+    co_await this->Sleep(this->duty.watches ? kFollowingRenewal : kRenewal);
   }
 }
 
@@ -342,7 +316,9 @@
         this->PublishNews();
       }
     }
-    co_await this->Sleep(this->peers.empty() ? kRenewInterval : kPeerReadInterval);
+    const bool alone = this->peers.empty() || this->livePeers == 0;
+    co_await this->Sleep(alone ? kFirstPeerRead
+                               : (this->duty.watches ? kFollowingPeerRead : kPeerRead));
   }
 }
 
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -11,6 +11,7 @@
 
 #include "async_store.hpp"
 #include "directory_codec.hpp"
+#include "store_follower.hpp"
 
 namespace plantainslip::serving {
 
@@ -33,12 +34,16 @@
   std::vector<PeerInstance> peers;
   /// @brief Engines that are changing their stage and are to get no work.
   std::vector<core::TargetId> changing;
+  /// @brief Whether peers are to hear of this at once, as they may not learn it elsewhere.
+  bool announce = false;
 };
 
 /// @brief Who the instance is and how it is reached by its peers.
 struct ControlOptions
 {
   PeerInstance self;
+  /// @brief Bandwidth of the instance's link in megabits a second.
+  double linkMbps = 0.0;
   /// @brief Lease of the right to give orders.
   milliseconds leaseDuration{ 3'000 };
 };
@@ -58,38 +63,14 @@
           ControlOptions aOptions,
           Publish aPublish);
 
-  /// @brief Starts all loops.
-  void Start();
+  /// @brief Starts all loops and opens the port at which peers read changes of the store.
+  /// @return OK, or error 1506 (serving.cannot_listen)
+  absl::Status Start();
 
-  /// @brief Learns that a peer has seen newer revisions; reads them if they do not come soon.
-  void NoteRevisions(core::Revision aConfig, core::Revision aTargets);
-
-  /// @brief Learns how many peers are alive, which spreads the cost of watching over all.
-  void NotePeers(std::size_t aCount) { this->livePeers = aCount; }
+  /// @brief Learns what peers say of themselves, several times a second.
+  void NotePeers(const std::vector<PeerStanding>& aPeers);
 
 private:
-  using ApplyItems = std::function<void(const StoreItems&, bool)>;
-
-  /// @brief Progress of following one prefix of the store.
-  struct Following
-  {
-    std::string prefix;
-    ApplyItems apply;
-    core::Revision upTo;
-    bool needsAll = true;
-    bool healthy = false;
-    /// @brief Whether the present outage has been logged.
-    bool lossLogged = false;
-    /// @brief Whether changes that a peer has seen are being waited for.
-    bool catchingUp = false;
-    /// @brief Pause after changes, in which further ones gather for one call.
-    milliseconds gather{ 0 };
-    core::MonotonicTime due;
-  };
-
-  Task<void> Follow(Following& aFollowing);
-  Task<bool> FollowOnce(Following& aFollowing);
-  Task<void> CatchUp(Following& aFollowing, core::Revision aSeen);
   Task<void> KeepEntry();
   Task<bool> EnsureEntry();
   Task<void> ReadPeers();
@@ -103,11 +84,13 @@
   FleetSnapshot ExpectedFleet() const;
   void StandDown(const std::string& aReason);
   bool LeaseIsSafe() const;
-  void ApplyConfig(const StoreItems& aItems, bool aAll);
-  void ApplyTargets(const StoreItems& aItems, bool aAll);
-  void PublishNews();
+  void ApplyConfig(const FollowedChanges& aChanges);
+  void ApplyTargets(const FollowedChanges& aChanges);
+  void PublishNews(bool aAnnounce = false);
+  void Confirm(core::MonotonicTime aAt);
+  bool Follows() const;
+  PeerStanding OwnStanding() const;
   Task<void> Sleep(milliseconds aTime);
-  milliseconds WatchTime();
 
   asio::io_context& context;
   AsyncStore& store;
@@ -118,14 +101,17 @@
   Publish publish;
   core::RandomSource random;
 
-  Following configFollowing;
-  Following targetFollowing;
+  StoreFollower configFollower;
+  StoreFollower targetFollower;
+  std::unique_ptr<FrontDoor> changesDoor;
+  WatchDuty duty;
   Directory directory;
   std::shared_ptr<const ServingConfig> config;
   core::Revision configRevision;
   core::Revision targetsRevision;
   core::MonotonicTime confirmedAt;
   std::vector<PeerInstance> peers;
+  /// @brief Peers that were heard of lately.
   std::size_t livePeers = 0;
   std::optional<LeaseId> entryLease;
 
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds kIntervalPerPeer{ 4 };
 /// Interval at which an unchanged state is told again; below the lifetime of a report.
 constexpr milliseconds kUnchangedInterval{ 300 };
+/// Interval at which the control thread learns of peers; a fraction of the silence that it bears.
+constexpr milliseconds kReportInterval{ 300 };
+/// Age that is told if the store has confirmed nothing yet.
+constexpr milliseconds kNeverConfirmed{ 3'600'000 };
 /// A peer that the store does not list is forgotten after this silence.
 constexpr milliseconds kUnlistedLifetime{ 3'000 };
 
@@ -23,11 +27,12 @@
 absl::StatusOr<std::unique_ptr<LoadExchange>>
 LoadExchange::Open(asio::io_context& aContext,
                    const PeerInstance& aSelf,
+                   double aLinkMbps,
                    PathContext& aPath,
-                   OnRevisions aOnRevisions)
+                   OnPeers aOnPeers)
 {
   std::unique_ptr<LoadExchange> exchange(
-    new LoadExchange(aContext, aSelf, aPath, std::move(aOnRevisions)));
+    new LoadExchange(aContext, aSelf, aLinkMbps, aPath, std::move(aOnPeers)));
   ErrorCode error;
   const Udp::endpoint endpoint(asio::ip::make_address_v4(aSelf.address.host, error),
                                aSelf.address.port);
@@ -48,11 +53,13 @@
 
 LoadExchange::LoadExchange(asio::io_context& aContext,
                            const PeerInstance& aSelf,
+                           double aLinkMbps,
                            PathContext& aPath,
-                           OnRevisions aOnRevisions)
+                           OnPeers aOnPeers)
   : self(aSelf)
+  , linkMbps(aLinkMbps)
   , path(aPath)
-  , onRevisions(std::move(aOnRevisions))
+  , onPeers(std::move(aOnPeers))
   , socket(aContext)
   , timer(aContext)
 {
@@ -80,21 +87,46 @@
 {
   Peer& peer = this->peers[aMessage.sender];
   const core::MonotonicTime now = this->path.clock.Now();
-  const bool restarted = peer.endpoint != aFrom || now - peer.heardAt > kUnlistedLifetime;
+  PeerStanding& standing = peer.standing;
+  const bool restarted = peer.endpoint != aFrom || now - standing.heardAt > kUnlistedLifetime;
   if (!restarted && aMessage.sequence <= peer.sequence) {
     return;
   }
   peer.sequence = aMessage.sequence;
-  peer.heardAt = now;
   peer.endpoint = aFrom;
+  const bool newer = aMessage.configRevision > standing.configRevision ||
+                     aMessage.targetsRevision > standing.targetsRevision;
+  standing = { aMessage.sender,
+               aMessage.zone,
+               { aFrom.address().to_string(), aFrom.port() },
+               aMessage.linkMbps,
+               now,
+               now - aMessage.confirmedAge,
+               aMessage.configRevision,
+               aMessage.targetsRevision };
   this->path.loads.SetPeer(aMessage.sender, aMessage.loads, now);
   const FleetSnapshot& fleet = *this->path.fleet;
-  if (aMessage.configRevision > fleet.configRevision ||
-      aMessage.targetsRevision > fleet.targetsRevision) {
-    this->onRevisions(aMessage.configRevision, aMessage.targetsRevision);
+  const bool knowsMore = aMessage.configRevision > fleet.configRevision ||
+                         aMessage.targetsRevision > fleet.targetsRevision;
+  if (newer && knowsMore) {
+    this->ReportPeers();
   }
 }
 
+void
+LoadExchange::ReportPeers()
+{
+  const core::MonotonicTime now = this->path.clock.Now();
+  this->reportedAt = now;
+  std::vector<PeerStanding> standings;
+  for (const auto& [id, peer] : this->peers) {
+    if (IsAlive(peer.standing, now)) {
+      standings.push_back(peer.standing);
+    }
+  }
+  this->onPeers(std::move(standings));
+}
+
 Task<void>
 LoadExchange::Receive()
 {
@@ -123,9 +155,15 @@
   PeerMessage message;
   message.sender = this->self.id;
   message.sequence = ++this->sequence;
+  message.zone = this->self.zone;
+  message.linkMbps = this->linkMbps;
+  const auto age =
+    std::chrono::duration_cast<milliseconds>(this->path.clock.Now() - this->path.confirmedAt);
+  message.confirmedAge = std::clamp(age, milliseconds(0), kNeverConfirmed);
   message.configRevision = this->path.fleet->configRevision;
   message.targetsRevision = this->path.fleet->targetsRevision;
   message.loads = this->path.loads.Own();
+  this->sentAt = this->path.clock.Now();
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [id, peer] : this->peers) {
     ErrorCode ignored;
@@ -145,11 +183,13 @@
     co_await this->timer.async_wait(Into(error));
     const core::MonotonicTime now = this->path.clock.Now();
     std::erase_if(this->peers, [&](const auto& aEntry) {
-      return !aEntry.second.listed && now - aEntry.second.heardAt > kUnlistedLifetime;
+      return !aEntry.second.listed && now - aEntry.second.standing.heardAt > kUnlistedLifetime;
     });
     if (this->path.loads.Own() != this->lastSent || now - this->sentAt >= kUnchangedInterval) {
       this->SendToAll();
-      this->sentAt = now;
+    }
+    if (now - this->reportedAt >= kReportInterval) {
+      this->ReportPeers();
     }
   }
 }
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -19,47 +19,55 @@
 class LoadExchange
 {
 public:
-  /// @brief Called when a peer has seen other revisions than this instance.
-  using OnRevisions = std::function<void(core::Revision aConfig, core::Revision aTargets)>;
+  /// @brief Called several times a second with what peers say of themselves.
+  using OnPeers = std::function<void(std::vector<PeerStanding>)>;
 
   /// @brief Opens the port and starts both directions.
   /// @return the exchange, or error 1506 (serving.cannot_listen)
   static absl::StatusOr<std::unique_ptr<LoadExchange>> Open(asio::io_context& aContext,
                                                             const PeerInstance& aSelf,
+                                                            double aLinkMbps,
                                                             PathContext& aPath,
-                                                            OnRevisions aOnRevisions);
+                                                            OnPeers aOnPeers);
 
   /// @brief Sets the peers that the store lists.
   void SetPeers(const std::vector<PeerInstance>& aPeers);
 
+  /// @brief Tells all peers at once what revisions this instance knows.
+  void Announce() { this->SendToAll(); }
+
 private:
   struct Peer
   {
     Udp::endpoint endpoint;
-    /// @brief Last message, of a listed peer or of one that spoke first.
-    core::MonotonicTime heardAt;
+    /// @brief What its last message says; never heard of if it is only listed.
+    PeerStanding standing;
     bool listed = false;
     std::uint64_t sequence = 0;
   };
 
   LoadExchange(asio::io_context& aContext,
                const PeerInstance& aSelf,
+               double aLinkMbps,
                PathContext& aPath,
-               OnRevisions aOnRevisions);
+               OnPeers aOnPeers);
   Task<void> Receive();
   Task<void> Send();
   void Take(const PeerMessage& aMessage, const Udp::endpoint& aFrom);
   void SendToAll();
+  void ReportPeers();
 
   PeerInstance self;
+  double linkMbps;
   PathContext& path;
-  OnRevisions onRevisions;
+  OnPeers onPeers;
   Udp::socket socket;
   asio::steady_timer timer;
   std::map<core::InstanceId, Peer> peers;
   std::uint64_t sequence = 0;
   LoadTable lastSent;
   core::MonotonicTime sentAt;
+  core::MonotonicTime reportedAt;
   std::array<char, 16'384> received{};
 };
 
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -28,7 +28,10 @@
                                      aMessage.sequence,
                                      aMessage.configRevision.Number(),
                                      aMessage.targetsRevision.Number(),
-                                     std::move(loads) });
+                                     std::move(loads),
+                                     aMessage.zone.Text(),
+                                     static_cast<std::uint64_t>(aMessage.linkMbps),
+                                     aMessage.confirmedAge.count() });
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -39,10 +42,11 @@
 {
   const auto bad = [] { return core::MakeError(errors::kBadAnswer, "peer message"); };
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  constexpr std::size_t kFields = 5;
+  constexpr std::size_t kFields = 8;
   if (!message.is_array() || message.size() != kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !message[2].is_number_unsigned() ||
-      !message[3].is_number_unsigned() || !message[4].is_array()) {
+      !message[3].is_number_unsigned() || !message[4].is_array() || !message[5].is_string() ||
+      !message[6].is_number_unsigned() || !message[7].is_number_unsigned()) {
     return bad();
   }
   PeerMessage read;
@@ -50,6 +54,9 @@
   read.sequence = message[1].get<std::uint64_t>();
   read.configRevision = core::Revision(message[2].get<std::uint64_t>());
   read.targetsRevision = core::Revision(message[3].get<std::uint64_t>());
+  read.zone = core::ZoneId(message[5].get<std::string>());
+  read.linkMbps = message[6].get<double>();
+  read.confirmedAge = milliseconds(message[7].get<std::int64_t>());
   for (const json& entry : message[4]) {
     constexpr std::size_t kLoadFields = 3;
     if (!entry.is_array() || entry.size() != kLoadFields || !entry[0].is_string() ||
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -54,13 +54,13 @@
     return ntohs(address.sin_port);
   }
 
-  /// @brief Takes a port for datagrams whose next port is free for connections.
+  /// @brief Takes a port for datagrams and connections whose next port is free for connections.
   std::uint16_t TakePair()
   {
     while (true) {
       const auto first = this->Take(SOCK_DGRAM, 0);
       constexpr std::uint16_t kLastPort = 65'535;
-      if (first.has_value() && *first < kLastPort &&
+      if (first.has_value() && *first < kLastPort && this->Take(SOCK_STREAM, *first).has_value() &&
           this->Take(SOCK_STREAM, static_cast<std::uint16_t>(*first + 1)).has_value()) {
         return *first;
       }
@@ -210,6 +210,7 @@
   this->readiness = { "127.0.0.1", ports->Take(SOCK_STREAM, 0).value() };
   const std::uint16_t internalPort = ports->TakePair();
   ports.reset();
+  this->metrics = { "127.0.0.1", static_cast<std::uint16_t>(internalPort + 1) };
   const std::string name = "one-" + std::to_string(this->gateways.size());
   const json settings = {
     { "node", name },
@@ -244,6 +245,14 @@
   }
 }
 
+std::string
+WireFleet::Metrics() const
+{
+  const RawConnection connection(this->metrics);
+  connection.Send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  return ParseAnswer(connection.ReadToEnd()).body;
+}
+
 std::string
 WireFleet::CompletionHeaders()
 {
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -61,6 +61,12 @@
   /// @brief Address for callers of the instance that was started last.
   const net::Address& Callers() const { return this->callers; }
 
+  /// @brief Gives the metrics page of the instance that was started last.
+  std::string Metrics() const;
+
+  /// @brief Gives an instance by the order of starting.
+  ChildProcess& Gateway(std::size_t aIndex) { return *this->gateways.at(aIndex); }
+
   /// @brief Sends a request and reads its answer to the end of the connection.
   CallerAnswer Call(const std::string& aMethod,
                     const std::string& aPath,
@@ -82,6 +88,7 @@
   std::vector<std::unique_ptr<ChildProcess>> gateways;
   net::Address callers;
   net::Address readiness;
+  net::Address metrics;
   std::string settingsPath;
   std::jthread thread;
 };
--- a/tests/src/process-wire-path.cpp
+++ b/tests/src/process-wire-path.cpp
@@ -307,6 +307,53 @@
   CHECK(ready.fleet.Store().WatchesOf("servers/") - before <= 10);
 }
 
+TEST_CASE("an instance that leaves the store to its peers")
+{
+  WireFleet fleet;
+  fakes::WireTarget& desk = fleet.AddTarget("i-s", "desk", "");
+  fleet.Configure(3);
+  for (int instance = 0; instance < 3; ++instance) {
+    fleet.StartGateway();
+  }
+  // Changes go on until one has come from a peer: peers are heard of some time after the start.
+  std::uint64_t version = 3;
+  Await("a change from a peer", [&] {
+    fleet.Configure(++version);
+    return fleet.Metrics().find("store_changes_total{kind=\"peer\"}") != std::string::npos;
+  });
+  SUBCASE("learns from them of targets that come and go")
+  {
+    fakes::WireTarget& next = fleet.AddTarget("i-s2", "desk", "");
+    fleet.List(desk, "desk", "", "draining");
+    int request = 0;
+    Await("the next target to be used", [&] {
+      const std::string id = "r" + std::to_string(++request);
+      CHECK(fleet.Call("GET", "/look/x", id).status == 200);
+      return CountOf(next, id) == 1;
+    });
+  }
+  SUBCASE("follows the store itself when they are gone")
+  {
+    fleet.Gateway(0).Signal(SIGKILL);
+    fleet.Gateway(1).Signal(SIGKILL);
+    fakes::WireTarget& next = fleet.AddTarget("i-s2", "desk", "");
+    fleet.List(desk, "desk", "", "draining");
+    int request = 0;
+    Await("the next target to be used", [&] {
+      const std::string id = "r" + std::to_string(++request);
+      fleet.Call("GET", "/look/x", id);
+      return CountOf(next, id) == 1;
+    });
+  }
+  SUBCASE("answers for unknown routes by what they confirm, and not once the store is away")
+  {
+    fleet.AwaitServed("/none/x", 404);
+    fleet.Store().SetMode(fakes::WireStore::Mode::kRefusing);
+    fleet.AwaitServed("/none/x", 503);
+    CHECK(fleet.Call("GET", "/look/x", "r1").status == 200);
+  }
+}
+
 TEST_CASE("the instance with the lease orders engines into both stages, fenced and in order")
 {
   WireFleet fleet;
--- /dev/null
+++ b/tests/src/unit-watch-duty.cpp
@@ -0,0 +1,222 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include <rapidcheck.h>
+
+#include <plantainslip/serving/replica.hpp>
+#include <plantainslip/serving/watch_duty.hpp>
+
+using namespace plantainslip;          // NOLINT(google-build-using-namespace)
+using namespace plantainslip::serving; // NOLINT(google-build-using-namespace)
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::MonotonicTime kNow = core::MonotonicTime(1h);
+
+PeerStanding
+Peer(const std::string& aId, const std::string& aZone, double aLinkMbps = 10.0)
+{
+  PeerStanding peer;
+  peer.id = core::InstanceId(aId);
+  peer.zone = core::ZoneId(aZone);
+  peer.linkMbps = aLinkMbps;
+  peer.heardAt = kNow;
+  peer.confirmedAt = kNow - 500ms;
+  peer.configRevision = core::Revision(7);
+  peer.targetsRevision = core::Revision(9);
+  return peer;
+}
+
+StoreItem
+Item(const std::string& aKey, std::uint64_t aRevision, bool aRemoved = false)
+{
+  StoreItem item;
+  item.key = aKey;
+  item.value = aRemoved ? "" : "value of " + std::to_string(aRevision);
+  item.revision = core::Revision(aRevision);
+  item.removed = aRemoved;
+  return item;
+}
+
+// What a reader knows after it has taken in changes.
+void
+TakeIn(std::map<std::string, std::string>& aKnown, const ReplicaChanges& aChanges)
+{
+  if (aChanges.whole) {
+    aKnown.clear();
+  }
+  for (const StoreItem& item : aChanges.changes.items) {
+    if (item.removed) {
+      aKnown.erase(item.key);
+    } else {
+      aKnown[item.key] = item.value;
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("calls to the store grow with the zones, not with the instances")
+{
+  for (const int size : { 1, 2, 9, 81, 410 }) {
+    std::vector<PeerStanding> fleet;
+    for (int index = 0; index < size; ++index) {
+      fleet.push_back(Peer("i-" + std::to_string(index), "z-" + std::to_string(index % 3)));
+    }
+    std::size_t watching = 0;
+    std::size_t told = 0;
+    for (std::size_t self = 0; self < fleet.size(); ++self) {
+      std::vector<PeerStanding> others = fleet;
+      others.erase(others.begin() + static_cast<std::ptrdiff_t>(self));
+      const WatchDuty duty = DecideWatchDuty(fleet[self], others, kNow);
+      watching += duty.watches ? 1U : 0U;
+      told = duty.watchers;
+    }
+    CHECK(watching <= 3 * kWatchersPerZone);
+    CHECK(watching == std::min<std::size_t>(fleet.size(), 3 * kWatchersPerZone));
+    CHECK(told == watching);
+  }
+}
+
+TEST_CASE("the duty to follow the store")
+{
+  const PeerStanding self = Peer("m", "a");
+  std::vector<PeerStanding> peers = { Peer("b", "a"), Peer("c", "a"), Peer("z", "a") };
+  SUBCASE("is left to peers that come first")
+  {
+    CHECK_FALSE(DecideWatchDuty(self, peers, kNow).watches);
+  }
+  SUBCASE("is taken over from a peer that has fallen silent")
+  {
+    peers[0].heardAt = kNow - kPeerSilence - 1ms;
+    CHECK(DecideWatchDuty(self, peers, kNow).watches);
+  }
+  SUBCASE("is not left to peers of another zone, which may be cut off")
+  {
+    peers[0].zone = core::ZoneId("b");
+    CHECK(DecideWatchDuty(self, peers, kNow).watches);
+  }
+  SUBCASE("goes to the instances with the widest links")
+  {
+    PeerStanding wide = self;
+    wide.linkMbps = 200.0;
+    CHECK(DecideWatchDuty(wide, peers, kNow).watches);
+  }
+  SUBCASE("is taken by all if nobody can reach the store any more")
+  {
+    PeerStanding unconfirmed = self;
+    unconfirmed.confirmedAt = kNow - kUnconfirmedFor - 1ms;
+    CHECK(DecideWatchDuty(unconfirmed, peers, kNow).watches);
+  }
+}
+
+TEST_CASE("what the store has confirmed to a peer")
+{
+  PeerStanding self = Peer("m", "a");
+  self.confirmedAt = kNow - 2s;
+  std::vector<PeerStanding> peers = { Peer("b", "a") };
+  SUBCASE("holds for an instance that knows as much")
+  {
+    CHECK(ConfirmedByPeers(self, peers, kNow) == peers[0].confirmedAt);
+  }
+  SUBCASE("does not hold for one that lacks a configuration or a target")
+  {
+    peers[0].configRevision = core::Revision(8);
+    CHECK(ConfirmedByPeers(self, peers, kNow) == self.confirmedAt);
+    peers[0].configRevision = core::Revision(7);
+    peers[0].targetsRevision = core::Revision(10);
+    CHECK(ConfirmedByPeers(self, peers, kNow) == self.confirmedAt);
+  }
+  SUBCASE("no longer counts when the peer has fallen silent")
+  {
+    peers[0].heardAt = kNow - kPeerSilence - 1ms;
+    CHECK(ConfirmedByPeers(self, peers, kNow) == self.confirmedAt);
+  }
+}
+
+TEST_CASE("a replica hands on what a reader lacks")
+{
+  Replica replica;
+  replica.Apply({ { Item("a", 3), Item("b", 5) }, core::Revision(6) }, true);
+  SUBCASE("changes after the reader's revision")
+  {
+    replica.Apply({ { Item("c", 8) }, core::Revision(8) }, false);
+    const ReplicaChanges changes = replica.After(core::Revision(6));
+    CHECK_FALSE(changes.whole);
+    REQUIRE(changes.changes.items.size() == 1);
+    CHECK(changes.changes.items.front().key == "c");
+    CHECK(changes.changes.upTo == core::Revision(8));
+  }
+  SUBCASE("removals too")
+  {
+    replica.Apply({ { Item("a", 8, true) }, core::Revision(8) }, false);
+    const ReplicaChanges changes = replica.After(core::Revision(6));
+    REQUIRE(changes.changes.items.size() == 1);
+    CHECK(changes.changes.items.front().removed);
+  }
+  SUBCASE("keys that a later list lacks count as removed")
+  {
+    replica.Apply({ { Item("b", 5) }, core::Revision(9) }, true);
+    const ReplicaChanges changes = replica.After(core::Revision(6));
+    REQUIRE(changes.changes.items.size() == 1);
+    CHECK(changes.changes.items.front().key == "a");
+    CHECK(changes.changes.items.front().removed);
+  }
+  SUBCASE("everything to a reader from before its first list")
+  {
+    const ReplicaChanges changes = replica.After(core::Revision(4));
+    CHECK(changes.whole);
+    CHECK(changes.changes.items.size() == 2);
+  }
+  SUBCASE("nothing of an older list that comes late")
+  {
+    replica.Apply({ { Item("c", 8) }, core::Revision(8) }, false);
+    replica.Apply({ { Item("a", 3) }, core::Revision(7) }, true);
+    CHECK(replica.After(core::Revision(0)).changes.items.size() == 3);
+  }
+}
+
+TEST_CASE("a reader of a replica ends with what the store holds, whatever it had before")
+{
+  rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& aChanges, std::uint8_t aReadAt) {
+    Replica replica;
+    replica.Apply({ {}, core::Revision(1) }, true);
+    std::map<std::string, std::string> held;
+    std::map<std::string, std::string> known;
+    core::Revision readUpTo;
+    std::uint64_t revision = 1;
+    for (const auto& [key, removed] : aChanges) {
+      const StoreItem item = Item(std::to_string(key % 4), ++revision, removed);
+      replica.Apply({ { item }, core::Revision(revision) }, false);
+      if (removed) {
+        held.erase(item.key);
+      } else {
+        held[item.key] = item.value;
+      }
+      if (revision % (1U + aReadAt % 5U) == 0) {
+        const ReplicaChanges changes = replica.After(readUpTo);
+        TakeIn(known, changes);
+        readUpTo = changes.changes.upTo;
+        RC_ASSERT(known == held);
+      }
+    }
+  });
+}
+
+TEST_CASE("changes come back from their encoding as they were")
+{
+  ReplicaChanges changes;
+  changes.changes = { { Item("op/x", 3), Item("gone", 4, true) }, core::Revision(4) };
+  changes.changes.items.front().value = std::string("\0\xff raw", 6);
+  changes.sinceOutage = 250ms;
+  const auto read = DecodeChanges(EncodeChanges(changes));
+  REQUIRE(read.ok());
+  CHECK(read->changes.upTo == core::Revision(4));
+  CHECK(read->sinceOutage == changes.sinceOutage);
+  REQUIRE(read->changes.items.size() == 2);
+  CHECK(read->changes.items[0].value == changes.changes.items[0].value);
+  CHECK(read->changes.items[1].removed);
+  CHECK_FALSE(DecodeChanges("not an encoding").ok());
+}
