Avoid targets that two peers cannot reach; send callers back sooner after an engine failed

Change: datagrams name the targets that the sender cannot reach; two such words avoid a target, unless it has answered here in the last half second. After an engine's failure callers return after 30 ms.

Ruled out: one word is enough (an instance that is cut off would take targets away from all).

Tests: unit-serving-decisions (words of one and two, own evidence, silence), the message's round trip.

--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include <absl/status/statusor.h>
 
@@ -23,6 +24,8 @@
   milliseconds confirmedAge{ 0 };
   /// @brief What the sender has sent to targets and is not yet answered.
   LoadTable loads;
+  /// @brief Targets that the sender cannot reach at present.
+  std::vector<core::TargetId> unreachable;
 };
 
 /// @brief Writes a message as CBOR. Linear in the number of targets.
--- a/include/plantainslip/serving/target_health.hpp
+++ b/include/plantainslip/serving/target_health.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <map>
+#include <optional>
+#include <vector>
 
 #include <plantainslip/serving/fleet.hpp>
 
@@ -22,7 +24,9 @@
 ///
 /// Answers grey targets, cut zones and dead addresses. A target that cannot be reached is avoided
 /// for a time that doubles with each further failure and ends by itself; a target that fails part
-/// of its requests costs more in placement. Not safe to share between threads.
+/// of its requests costs more in placement. What several peers cannot reach is avoided as well, so
+/// that a large fleet does not find a dead target once for each instance. Not safe to share between
+/// threads.
 class TargetHealth
 {
 public:
@@ -33,12 +37,30 @@
   /// @brief Weight of the newest result in the failure rate: remembers about ten attempts.
   static constexpr double kNewestWeight = 0.1;
 
+  /// @brief Peers that must avoid a target before it is avoided on their word: one may be cut off.
+  static constexpr std::size_t kWitnesses = 2;
+  /// @brief Age at which a peer's word no longer counts: a few of its messages.
+  static constexpr milliseconds kWordLifetime{ 1'000 };
+  /// @brief Time after an answer in which a target is not avoided on the word of peers.
+  static constexpr milliseconds kOwnEvidence{ 500 };
+
   /// @brief Counts the result of an attempt. Logarithmic in the number of targets.
   void Record(const core::TargetId& aTarget, AttemptResult aResult, core::MonotonicTime aNow);
 
-  /// @brief Tells whether a target is to be passed over while there are others.
+  /// @brief Tells whether a target is to be passed over while there are others. Linear in the
+  /// number
+  ///        of peers that cannot reach some target.
   bool Avoided(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
 
+  /// @brief Gives the targets that this instance avoids by its own attempts; linear in their
+  /// number.
+  std::vector<core::TargetId> Unreachable(core::MonotonicTime aNow) const;
+
+  /// @brief Takes the targets that a peer cannot reach in place of its last word.
+  void SetPeer(const core::InstanceId& aPeer,
+               std::vector<core::TargetId> aUnreachable,
+               core::MonotonicTime aNow);
+
   /// @brief Gives the recent share of failed attempts, from 0 to 1.
   double FailureRate(const core::TargetId& aTarget) const;
 
@@ -48,9 +70,19 @@
     double failureRate = 0.0;
     int unreachableInARow = 0;
     core::MonotonicTime avoidedUntil;
+    std::optional<core::MonotonicTime> answeredAt;
   };
+  struct Word
+  {
+    std::vector<core::TargetId> unreachable;
+    core::MonotonicTime at;
+  };
+
+  bool AvoidedByPeers(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
 
   std::map<core::TargetId, Judgement> records;
+  /// @brief Last words of peers that cannot reach some target.
+  std::map<core::InstanceId, Word> words;
 };
 
 } // namespace plantainslip::serving
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -105,6 +105,7 @@
                aMessage.configRevision,
                aMessage.targetsRevision };
   this->path.loads.SetPeer(aMessage.sender, aMessage.loads, now);
+  this->path.health.SetPeer(aMessage.sender, aMessage.unreachable, now);
   const FleetSnapshot& fleet = *this->path.fleet;
   const bool knowsMore = aMessage.configRevision > fleet.configRevision ||
                          aMessage.targetsRevision > fleet.targetsRevision;
@@ -163,6 +164,7 @@
   message.configRevision = this->path.fleet->configRevision;
   message.targetsRevision = this->path.fleet->targetsRevision;
   message.loads = this->path.loads.Own();
+  message.unreachable = this->path.health.Unreachable(this->path.clock.Now());
   this->sentAt = this->path.clock.Now();
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [id, peer] : this->peers) {
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -24,6 +24,10 @@
     loads.push_back(
       json::array({ target.Text(), static_cast<std::uint64_t>(load.requests), std::move(tokens) }));
   }
+  json unreachable = json::array();
+  for (const core::TargetId& target : aMessage.unreachable) {
+    unreachable.push_back(target.Text());
+  }
   const json message = json::array({ aMessage.sender.Text(),
                                      aMessage.sequence,
                                      aMessage.configRevision.Number(),
@@ -31,7 +35,8 @@
                                      std::move(loads),
                                      aMessage.zone.Text(),
                                      static_cast<std::uint64_t>(aMessage.linkMbps),
-                                     aMessage.confirmedAge.count() });
+                                     aMessage.confirmedAge.count(),
+                                     std::move(unreachable) });
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -42,11 +47,12 @@
 {
   const auto bad = [] { return core::MakeError(errors::kBadAnswer, "peer message"); };
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  constexpr std::size_t kFields = 8;
+  constexpr std::size_t kFields = 9;
   if (!message.is_array() || message.size() != kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !message[2].is_number_unsigned() ||
       !message[3].is_number_unsigned() || !message[4].is_array() || !message[5].is_string() ||
-      !message[6].is_number_unsigned() || !message[7].is_number_unsigned()) {
+      !message[6].is_number_unsigned() || !message[7].is_number_unsigned() ||
+      !message[8].is_array()) {
     return bad();
   }
   PeerMessage read;
@@ -57,6 +63,12 @@
   read.zone = core::ZoneId(message[5].get<std::string>());
   read.linkMbps = message[6].get<double>();
   read.confirmedAge = milliseconds(message[7].get<std::int64_t>());
+  for (const json& target : message[8]) {
+    if (!target.is_string()) {
+      return bad();
+    }
+    read.unreachable.emplace_back(target.get<std::string>());
+  }
   for (const json& entry : message[4]) {
     constexpr std::size_t kLoadFields = 3;
     if (!entry.is_array() || entry.size() != kLoadFields || !entry[0].is_string() ||
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -23,6 +23,8 @@
 /// finds its configuration or its targets again.
 constexpr milliseconds kReturnAfterRefusal{ 200 };
 constexpr milliseconds kReturnAfterOutage{ 500 };
+/// Another engine can serve at once, and the caller's objective counts from its first attempt.
+constexpr milliseconds kReturnAfterEngineFailure{ 30 };
 /// The next connection goes to another instance, which can serve at once.
 constexpr milliseconds kReturnAfterStop{ 20 };
 /// Age of the store's last confirmation from which an unknown route may just be new.
@@ -155,7 +157,9 @@
     co_return;
   }
   if (!aRequest.mayHaveRun) {
-    co_await Refuse(aContext, aRequest, kUnavailable, std::move(aReason), kReturnAfterRefusal);
+    const bool byEngine = aRequest.facts.prompt.has_value();
+    const milliseconds comeBack = byEngine ? kReturnAfterEngineFailure : kReturnAfterRefusal;
+    co_await Refuse(aContext, aRequest, kUnavailable, std::move(aReason), comeBack);
     co_return;
   }
   const bool late = cancelled == CancelReason::kDeadline;
--- a/src/serving/target_health.cpp
+++ b/src/serving/target_health.cpp
@@ -13,6 +13,7 @@
   if (aResult != AttemptResult::kUnreachable) {
     judgement.unreachableInARow = 0;
     judgement.avoidedUntil = {};
+    judgement.answeredAt = aNow;
     return;
   }
   constexpr int kMostDoublings = 10;
@@ -21,11 +22,59 @@
   ++judgement.unreachableInARow;
 }
 
+bool
+TargetHealth::AvoidedByPeers(const core::TargetId& aTarget, core::MonotonicTime aNow) const
+{
+  std::size_t witnesses = 0;
+  for (const auto& [peer, word] : this->words) {
+    const auto& named = word.unreachable;
+    witnesses +=
+      static_cast<std::size_t>(aNow - word.at <= kWordLifetime &&
+                               std::find(named.begin(), named.end(), aTarget) != named.end());
+  }
+  return witnesses >= kWitnesses;
+}
+
 bool
 TargetHealth::Avoided(const core::TargetId& aTarget, core::MonotonicTime aNow) const
 {
   const auto found = this->records.find(aTarget);
-  return found != this->records.end() && aNow < found->second.avoidedUntil;
+  if (found != this->records.end()) {
+    const Judgement& own = found->second;
+    if (aNow < own.avoidedUntil) {
+      return true;
+    }
+    if (own.answeredAt.has_value() && aNow - *own.answeredAt <= kOwnEvidence) {
+      return false;
+    }
+  }
+  return this->AvoidedByPeers(aTarget, aNow);
+}
+
+std::vector<core::TargetId>
+TargetHealth::Unreachable(core::MonotonicTime aNow) const
+{
+  std::vector<core::TargetId> targets;
+  for (const auto& [target, judgement] : this->records) {
+    if (aNow < judgement.avoidedUntil) {
+      targets.push_back(target);
+    }
+  }
+  return targets;
+}
+
+void
+TargetHealth::SetPeer(const core::InstanceId& aPeer,
+                      std::vector<core::TargetId> aUnreachable,
+                      core::MonotonicTime aNow)
+{
+  if (aUnreachable.empty()) {
+    this->words.erase(aPeer);
+  } else {
+    this->words[aPeer] = Word{ std::move(aUnreachable), aNow };
+  }
+  std::erase_if(this->words,
+                [&](const auto& aEntry) { return aNow - aEntry.second.at > kWordLifetime; });
 }
 
 double
--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -272,6 +272,47 @@
   }
 }
 
+TEST_CASE("a target that peers cannot reach")
+{
+  World world;
+  world.Add(Engine("d1", "a", EngineStage::kDecode));
+  world.Add(Engine("d2", "b", EngineStage::kDecode));
+  const auto chosen = [&] {
+    return ChooseDecode(world.View(), kModels, core::ZoneId("a"), {})->id.Text();
+  };
+  const std::vector<core::TargetId> word = { core::TargetId("d1") };
+  REQUIRE(chosen() == "d1");
+  world.health.SetPeer(core::InstanceId("one"), word, world.now);
+  SUBCASE("is used on the word of one, who may be cut off")
+  {
+    CHECK(chosen() == "d1");
+  }
+  world.health.SetPeer(core::InstanceId("two"), word, world.now);
+  SUBCASE("is passed over on the word of two, though this instance has not tried it")
+  {
+    CHECK(chosen() == "d2");
+    CHECK(world.health.Unreachable(world.now).empty());
+  }
+  SUBCASE("is used if it has just answered here")
+  {
+    world.health.Record(core::TargetId("d1"), AttemptResult::kAnswered, world.now);
+    CHECK(chosen() == "d1");
+  }
+  SUBCASE("is used again when they reach it or fall silent")
+  {
+    world.health.SetPeer(core::InstanceId("two"), {}, world.now);
+    CHECK(chosen() == "d1");
+    world.health.SetPeer(core::InstanceId("two"), word, world.now);
+    world.now += TargetHealth::kWordLifetime + 1ms;
+    CHECK(chosen() == "d1");
+  }
+  SUBCASE("is told to others only by those who have tried it")
+  {
+    world.health.Record(core::TargetId("d2"), AttemptResult::kUnreachable, world.now);
+    CHECK(world.health.Unreachable(world.now) == std::vector{ core::TargetId("d2") });
+  }
+}
+
 TEST_CASE("the time to read a prompt is learnt for each engine")
 {
   PrefillModel model;
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -152,6 +152,10 @@
   load.requests = 2.0;
   load.prefillTokens[4] = 1'234.0;
   message.loads[core::TargetId("t")] = load;
+  message.zone = core::ZoneId("a");
+  message.linkMbps = 200.0;
+  message.confirmedAge = 450ms;
+  message.unreachable = { core::TargetId("u"), core::TargetId("v") };
   const std::string bytes = EncodePeerMessage(message);
   const auto read = DecodePeerMessage(bytes);
   REQUIRE(read.ok());
@@ -159,6 +163,10 @@
   CHECK(read->sequence == 9);
   CHECK(read->targetsRevision == core::Revision(4));
   CHECK(read->loads == message.loads);
+  CHECK(read->zone == message.zone);
+  CHECK(read->linkMbps == 200.0);
+  CHECK(read->confirmedAge == 450ms);
+  CHECK(read->unreachable == message.unreachable);
   SUBCASE("whatever is cut or changed is an error or a message, never a crash")
   {
     for (std::size_t size = 0; size < bytes.size(); ++size) {
