Tell loads faster within a zone, and let a leaving home give its parts

Changes: an instance tells its own zone 4 ms apart for each peer there, the others as before, but at least every 400 ms; a leaving engine that was the home of a part is named as the source.

--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -11,8 +11,11 @@
 
 /// Shortest interval of messages: a fraction of the time in which an engine reads a long prompt.
 constexpr milliseconds kShortestInterval{ 25 };
-/// Added for each peer, which bounds what an instance receives to 250 messages a second.
+/// Added for each peer that is told, which bounds what an instance receives to 250 messages a
+/// second from its own zone, and to as many from the others.
 constexpr milliseconds kIntervalPerPeer{ 4 };
+/// Longest interval; a fraction of the silence after which a peer counts as gone.
+constexpr milliseconds kLongestInterval{ 400 };
 /// Interval at which an unchanged state is told again; below the lifetime of a report.
 constexpr milliseconds kUnchangedInterval{ 300 };
 /// Interval at which the control thread learns of peers; a fraction of the silence that it bears.
@@ -77,6 +80,7 @@
     if (!error) {
       Peer& peer = this->peers[listed.id];
       peer.endpoint = Udp::endpoint(host, listed.address.port);
+      peer.standing.zone = listed.zone;
       peer.listed = true;
     }
   }
@@ -150,45 +154,61 @@
   }
 }
 
+std::size_t
+LoadExchange::NearPeers() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& aEntry) {
+      return aEntry.second.standing.zone == this->self.zone;
+    }));
+}
+
 void
-LoadExchange::SendToAll()
+LoadExchange::SendTo(Reach aReach)
 {
+  const core::MonotonicTime now = this->path.clock.Now();
   PeerMessage message;
   message.sender = this->self.id;
   message.sequence = ++this->sequence;
   message.zone = this->self.zone;
   message.linkMbps = this->linkMbps;
-  const auto age =
-    std::chrono::duration_cast<milliseconds>(this->path.clock.Now() - this->path.confirmedAt);
+  const auto age = std::chrono::duration_cast<milliseconds>(now - this->path.confirmedAt);
   message.confirmedAge = std::clamp(age, milliseconds(0), kNeverConfirmed);
   message.configRevision = this->path.fleet->configRevision;
   message.targetsRevision = this->path.fleet->targetsRevision;
   message.loads = this->path.loads.Own();
-  message.unreachable = this->path.health.Unreachable(this->path.clock.Now());
-  this->sentAt = this->path.clock.Now();
+  message.unreachable = this->path.health.Unreachable(now);
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [id, peer] : this->peers) {
-    ErrorCode ignored;
-    this->socket.send_to(asio::buffer(bytes), peer.endpoint, 0, ignored);
+    if (aReach == Reach::kAllZones || peer.standing.zone == this->self.zone) {
+      ErrorCode ignored;
+      this->socket.send_to(asio::buffer(bytes), peer.endpoint, 0, ignored);
+    }
   }
+  this->sentAt = now;
+  this->sentFarAt = aReach == Reach::kAllZones ? now : this->sentFarAt;
   this->lastSent = std::move(message.loads);
 }
 
 Task<void>
 LoadExchange::Send()
 {
+  const auto intervalFor = [](std::size_t aPeers) {
+    return std::min(kLongestInterval,
+                    kShortestInterval + kIntervalPerPeer * static_cast<long>(aPeers));
+  };
   while (true) {
-    const auto interval =
-      kShortestInterval + kIntervalPerPeer * static_cast<long>(this->peers.size());
-    this->timer.expires_after(interval);
+    this->timer.expires_after(intervalFor(this->NearPeers()));
     ErrorCode error;
     co_await this->timer.async_wait(Into(error));
     const core::MonotonicTime now = this->path.clock.Now();
     std::erase_if(this->peers, [&](const auto& aEntry) {
       return !aEntry.second.listed && now - aEntry.second.standing.heardAt > kUnlistedLifetime;
     });
-    if (this->path.loads.Own() != this->lastSent || now - this->sentAt >= kUnchangedInterval) {
-      this->SendToAll();
+    const bool farDue = now - this->sentFarAt >= intervalFor(this->peers.size());
+    if (farDue || this->path.loads.Own() != this->lastSent ||
+        now - this->sentAt >= kUnchangedInterval) {
+      this->SendTo(farDue ? Reach::kAllZones : Reach::kOwnZone);
     }
     if (now - this->reportedAt >= kReportInterval) {
       this->ReportPeers();
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -34,7 +34,7 @@
   void SetPeers(const std::vector<PeerInstance>& aPeers);
 
   /// @brief Tells all peers at once what revisions this instance knows.
-  void Announce() { this->SendToAll(); }
+  void Announce() { this->SendTo(Reach::kAllZones); }
 
 private:
   struct Peer
@@ -54,7 +54,15 @@
   Task<void> Receive();
   Task<void> Send();
   void Take(const PeerMessage& aMessage, const Udp::endpoint& aFrom);
-  void SendToAll();
+  /// @brief Which peers a message is for.
+  enum class Reach
+  {
+    kOwnZone,
+    kAllZones,
+  };
+
+  void SendTo(Reach aReach);
+  std::size_t NearPeers() const;
   void ReportPeers();
 
   PeerInstance self;
@@ -66,6 +74,8 @@
   std::map<core::InstanceId, Peer> peers;
   std::uint64_t sequence = 0;
   LoadTable lastSent;
+  /// @brief When peers of other zones were last told.
+  core::MonotonicTime sentFarAt;
   core::MonotonicTime sentAt;
   core::MonotonicTime reportedAt;
   std::array<char, 16'384> received{};
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -76,6 +76,31 @@
   return homes;
 }
 
+// The leaving engine that was the home of a part before the one that is now, and so holds it.
+const Target*
+FindFormerHome(const PlacementView& aView,
+               const core::ServiceName& aService,
+               const Homes& aHomes,
+               std::uint64_t aKey)
+{
+  const Target* former = nullptr;
+  if (aHomes.first == nullptr) {
+    return former;
+  }
+  std::uint64_t highest = routing::RendezvousWeight(aHomes.first->id, aKey);
+  for (const auto& [id, target] : aView.fleet.targets) {
+    const bool gives = target.leaving && target.service == aService &&
+                       target.stage == EngineStage::kPrefill &&
+                       !aView.health.Avoided(id, aView.now);
+    const std::uint64_t weight = gives ? routing::RendezvousWeight(id, aKey) : 0;
+    if (weight > highest) {
+      highest = weight;
+      former = &target;
+    }
+  }
+  return former;
+}
+
 double
 HomeCost(const Homes& aHomes, const Target& aTarget)
 {
@@ -141,9 +166,11 @@
   }
   PrefillPlace place;
   place.target = *best;
+  const Target* const former = FindFormerHome(aView, aService, homes, SharedKey(aPrompt));
   const Target* const other = best == homes.first ? homes.second : homes.first;
-  if (other != nullptr) {
-    place.fetchFrom = other->address;
+  const Target* const source = former != nullptr ? former : other;
+  if (source != nullptr) {
+    place.fetchFrom = source->address;
   }
   place.priority = priorityAt(best->id);
   place.wait = wait(*best);
--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -182,11 +182,12 @@
     ++this->abandoned;
     co_return;
   }
-  if (act == TargetAct::kShed) {
+  if (act == TargetAct::kShed || act == TargetAct::kDisown) {
     HeaderList headers;
     headers.push_back({ "X-Not-Run", "1" });
     std::string empty;
-    co_await aWriter.WriteWhole(503, std::move(headers), std::move(empty));
+    co_await aWriter.WriteWhole(
+      act == TargetAct::kShed ? 503 : 421, std::move(headers), std::move(empty));
     co_return;
   }
   if (act == TargetAct::kFail) {
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -26,6 +26,8 @@
   kAnswer,
   /// @brief States that it has not run the request.
   kShed,
+  /// @brief States that it is not the target that the request is for.
+  kDisown,
   /// @brief Runs it and closes the connection without an answer.
   kDrop,
   /// @brief Breaks off in the middle of the second event of a stream.
--- a/tests/src/process-wire-path.cpp
+++ b/tests/src/process-wire-path.cpp
@@ -113,6 +113,29 @@
   CHECK(HeaderOf(ready.decode.Received().back(), "X-Kv-Source").empty());
 }
 
+TEST_CASE("an engine that is another process than listed")
+{
+  ReadyFleet ready;
+  fakes::WireTarget& other = ready.fleet.AddTarget("i-d2", "models", "decode");
+  AwaitBoth(ready, ready.decode, other, "models", "decode");
+  ready.decode.Plan({ TargetAct::kDisown });
+  SUBCASE("is given up for another one, which takes the cache, if the route has two attempts")
+  {
+    const CallerAnswer answer = ready.Complete("/note/x", "r1");
+    CHECK(answer.body == kWholeStream);
+    REQUIRE(CountOf(other, "r1") == 1);
+    CHECK_FALSE(HeaderOf(other.Received().back(), "X-Kv-Source").empty());
+    CHECK(CountOf(ready.decode, "r1") == 1);
+  }
+  SUBCASE("is not asked twice, if the route has one")
+  {
+    const CallerAnswer answer = ready.Complete("/quote/x", "r1");
+    CHECK(answer.status == 503);
+    CHECK(CountOf(ready.decode, "r1") == 1);
+    CHECK(CountOf(other, "r1") == 0);
+  }
+}
+
 TEST_CASE("an engine that sheds a prompt leaves the request not run, and the caller is told")
 {
   ReadyFleet ready;
--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -104,6 +104,13 @@
     const auto again = ChoosePrefill(world.View(), kModels, Prompt(5'000, 100), 400ms, {});
     CHECK(again->target.id == next->target.id);
   }
+  SUBCASE("a home that leaves still gives the part to the one that takes its place")
+  {
+    world.fleet.targets.at(first->target.id).leaving = true;
+    const auto next = ChoosePrefill(world.View(), kModels, Prompt(5'000, 900), 400ms, {});
+    CHECK(next->target.id != first->target.id);
+    CHECK(next->fetchFrom == first->target.address);
+  }
   SUBCASE("parts spread over the engines")
   {
     std::map<core::TargetId, int> counts;
