Plan stages during a release, and change the youngest engines first

No order was given from 21.5 to 33.7 s, since engines came and went all the while; engines that read prompts fell from 43 to 33, those that decode rose to 27 for a goal of 17, and waits for short prompts rose to 1.2 s at the 90th percentile.

Change: once the targets of the start have settled, a shortfall of more than one engine in a zone is mended at once. The youngest engines change, which hold the least work and the fewest parts.

Tests: unit-serving-decisions (age, shortfalls while engines come and go, the start as before).

--- a/include/plantainslip/serving/stage_plan.hpp
+++ b/include/plantainslip/serving/stage_plan.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include <plantainslip/serving/fleet.hpp>
@@ -22,6 +23,21 @@
   std::size_t tolerated = 0;
 };
 
+/// @brief Time without a change after which the targets of a start have all come: they come one
+/// after
+///        another, and a plan made in between would be undone.
+inline constexpr milliseconds kSettledAfter{ 1'500 };
+
+/// @brief Decides how large a shortfall of a zone is left alone.
+///
+/// Answers releases, in which engines come and go for many seconds and each comes in whatever
+/// stage: waiting for their end leaves too few engines to read prompts.
+/// @param aSinceChange  time since an engine last came or went
+/// @param aSettledBefore  whether there was no change for #kSettledAfter since the start
+/// @return the shortfall in engines, or nothing if no plan is to be made yet
+std::optional<std::size_t>
+ToleratedShortfall(milliseconds aSinceChange, bool aSettledBefore);
+
 /// @brief Gives the goal for a service before its demand is known.
 ///
 /// Answers engines of very different batch sizes: those that decode must hold the streams of all
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -215,7 +215,7 @@
     }
   }
   if (this->directory.Targets().size() != before) {
-    this->membersChangedAt = now;
+    this->NoteMembersChanged();
   }
   if (changed) {
     core::Log(core::LogLevel::kInfo,
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -80,6 +80,8 @@
   Task<void> HoldLease();
   Task<void> GiveOrders();
   Task<void> GiveOrder(StageChange aChange);
+  milliseconds SinceMembersChanged() const;
+  void NoteMembersChanged();
   void ForgetEndedOrders();
   FleetSnapshot ExpectedFleet() const;
   void StandDown(const std::string& aReason);
@@ -133,6 +135,8 @@
   std::map<core::TargetId, OrderedChange> ordered;
   /// @brief When a target last came or went.
   core::MonotonicTime membersChangedAt;
+  /// @brief Whether the targets have been without a change for a while since the start.
+  bool settledOnce = false;
 };
 
 } // namespace plantainslip::serving
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -20,8 +20,6 @@
 constexpr milliseconds kOrderTimeout{ 600 };
 /// An order without an answer may be carried out this much later; until then it is not repeated.
 constexpr milliseconds kLateOrder{ 13'000 };
-/// Targets come one after another at a start; a plan made in between would be undone.
-constexpr milliseconds kSettledAfter{ 1'500 };
 /// Time beside the engine's own in which the directory shows a change.
 constexpr milliseconds kDirectoryLag{ 2'500 };
 constexpr int kDone = 200;
@@ -128,6 +126,20 @@
   }
 }
 
+milliseconds
+Control::SinceMembersChanged() const
+{
+  return std::chrono::duration_cast<milliseconds>(this->clock.Now() - this->membersChangedAt);
+}
+
+void
+Control::NoteMembersChanged()
+{
+  const bool first = this->membersChangedAt == core::MonotonicTime{};
+  this->settledOnce = this->settledOnce || (!first && this->SinceMembersChanged() >= kSettledAfter);
+  this->membersChangedAt = this->clock.Now();
+}
+
 void
 Control::ForgetEndedOrders()
 {
@@ -159,7 +171,8 @@
 Control::GiveOrders()
 {
   this->ForgetEndedOrders();
-  if (this->config == nullptr || this->clock.Now() - this->membersChangedAt < kSettledAfter) {
+  const auto tolerated = ToleratedShortfall(this->SinceMembersChanged(), this->settledOnce);
+  if (this->config == nullptr || !tolerated.has_value()) {
     co_return;
   }
   const FleetSnapshot fleet = this->ExpectedFleet();
@@ -168,7 +181,9 @@
     if (!service.engine.has_value()) {
       continue;
     }
-    for (const StageChange& change : PlanStages(fleet, name, StartingGoal(service.engine->slots))) {
+    StageGoal goal = StartingGoal(service.engine->slots);
+    goal.tolerated = *tolerated;
+    for (const StageChange& change : PlanStages(fleet, name, goal)) {
       if (!this->LeaseIsSafe()) {
         co_return;
       }
--- a/src/serving/stage_plan.cpp
+++ b/src/serving/stage_plan.cpp
@@ -59,9 +59,14 @@
   }
   const EngineStage from = tooMany ? EngineStage::kDecode : EngineStage::kPrefill;
   const EngineStage to = tooMany ? EngineStage::kPrefill : EngineStage::kDecode;
+  // The youngest have the least work to end and the fewest cached parts to lose.
+  Engines byAge = aEngines;
+  std::stable_sort(byAge.begin(), byAge.end(), [](const Target* aLeft, const Target* aRight) {
+    return aLeft->startedAt > aRight->startedAt;
+  });
   std::vector<StageChange> changes;
   const std::size_t most = std::min(away, count - 1);
-  for (const Target* engine : aEngines) {
+  for (const Target* engine : byAge) {
     if (changes.size() < most && engine->stage == from) {
       changes.push_back({ *engine, to });
     }
@@ -71,6 +76,17 @@
 
 } // namespace
 
+std::optional<std::size_t>
+ToleratedShortfall(milliseconds aSinceChange, bool aSettledBefore)
+{
+  /// The next engine to come may make up for as much.
+  constexpr std::size_t kWhileChanging = 1;
+  if (aSinceChange >= kSettledAfter) {
+    return 0;
+  }
+  return aSettledBefore ? std::optional(kWhileChanging) : std::nullopt;
+}
+
 StageGoal
 StartingGoal(std::uint64_t aSlots)
 {
--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -438,6 +438,19 @@
     goal.decodeShare = 0.7;
     CHECK(PlanStages(fleet, kModels, goal).empty());
   }
+  SUBCASE("the youngest engines change, which hold the least")
+  {
+    fleet.targets.at(core::TargetId("a4")).startedAt = 2'000;
+    fleet.targets.at(core::TargetId("a2")).startedAt = 1'000;
+    goal.decodeShare = 0.67;
+    std::vector<std::string> changed;
+    for (const StageChange& change : PlanStages(fleet, kModels, goal)) {
+      if (change.target.zone == core::ZoneId("a")) {
+        changed.push_back(change.target.id.Text());
+      }
+    }
+    CHECK(changed == std::vector<std::string>{ "a4", "a2" });
+  }
   SUBCASE("small batches need more engines that decode")
   {
     CHECK(StartingGoal(128).decodeShare < StartingGoal(64).decodeShare);
@@ -445,3 +458,29 @@
     CHECK(StartingGoal(0).decodeShare <= 0.5);
   }
 }
+
+TEST_CASE("stages are planned during a release, but not while the first targets come")
+{
+  CHECK_FALSE(ToleratedShortfall(100ms, false).has_value());
+  CHECK(ToleratedShortfall(kSettledAfter, false) == 0);
+  CHECK(ToleratedShortfall(kSettledAfter, true) == 0);
+  // One engine of a stage too few may be made up for by the next one that comes; two may not.
+  FleetSnapshot fleet;
+  const auto add = [&](const std::string& aId, EngineStage aStage) {
+    const Target engine = Engine(aId, "a", aStage);
+    fleet.targets.emplace(engine.id, engine);
+  };
+  for (int engine = 0; engine < 6; ++engine) {
+    add("p" + std::to_string(engine), EngineStage::kPrefill);
+  }
+  add("d0", EngineStage::kDecode);
+  add("d1", EngineStage::kDecode);
+  add("d2", EngineStage::kDecode);
+  StageGoal goal;
+  goal.decodeShare = 0.25;
+  goal.tolerated = *ToleratedShortfall(100ms, true);
+  CHECK(PlanStages(fleet, kModels, goal).empty());
+  add("d3", EngineStage::kDecode);
+  add("d4", EngineStage::kDecode);
+  CHECK(PlanStages(fleet, kModels, goal).size() >= 2);
+}
