--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -28,8 +29,8 @@
 /// Time of the stop that is left for the process to end by itself.
 constexpr milliseconds kStopMargin{ 700 };
 constexpr milliseconds kStopCheck{ 50 };
-/// Instances that share the retry budget at least; more are known once they are heard.
-constexpr double kSharesOfBudget = 12.0;
+/// Instances that share the retry budget at least; more are counted once they are heard.
+constexpr std::size_t kFewestShares = 12;
 /// Part of the budget that is used, so that counting apart stays below the whole.
 constexpr double kBudgetShare = 0.8;
 
@@ -45,7 +46,7 @@
     }
   {
     this->path.retryOptions.retriesPerRequest = aSettings.retriesPerRequest * kBudgetShare;
-    this->path.retryOptions.mostSaved = aSettings.spareRetries * kBudgetShare / kSharesOfBudget;
+    this->ShareBudget(0);
   }
 
   absl::Status Run();
@@ -57,7 +58,7 @@
   Task<void> AwaitStop();
   Task<void> Stop();
   void Take(serving::ControlNews aNews);
-  void CountPeers();
+  void ShareBudget(std::size_t aPeers);
 
   static serving::PoolOptions TargetPoolOptions() { return {}; }
 
@@ -139,6 +140,14 @@
   }
 }
 
+// The bound on retries holds for all instances together.
+void
+Gateway::ShareBudget(std::size_t aPeers)
+{
+  const auto shares = static_cast<double>(std::max(kFewestShares, aPeers + 1));
+  this->path.ShareSavedRetries(this->settings.spareRetries * kBudgetShare / shares);
+}
+
 absl::Status
 Gateway::Open()
 {
@@ -166,6 +175,7 @@
                                 this->settings.linkMbps,
                                 this->path,
                                 [this](std::vector<serving::PeerStanding> aPeers) {
+                                  this->ShareBudget(aPeers.size());
                                   asio::post(this->control, [this, peers = std::move(aPeers)] {
                                     this->controller->NotePeers(peers);
                                   });
--- a/include/plantainslip/retries/retry_policy.hpp
+++ b/include/plantainslip/retries/retry_policy.hpp
@@ -44,6 +44,9 @@
   /// @return false if the budget is spent
   bool TakeRetry();
 
+  /// @brief Sets the most retries that the budget holds; what is saved beyond that is lost.
+  void SetMostSaved(double aMostSaved);
+
   /// @brief Gives the bounds.
   const RetryOptions& Options() const { return this->options; }
 
--- a/src/retries/retry_policy.cpp
+++ b/src/retries/retry_policy.cpp
@@ -17,6 +17,14 @@
   this->saved = std::min(this->saved + this->options.retriesPerRequest, this->options.mostSaved);
 }
 
+void
+RetryBudget::SetMostSaved(double aMostSaved)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->options.mostSaved = aMostSaved;
+  this->saved = std::min(this->saved, aMostSaved);
+}
+
 bool
 RetryBudget::TakeRetry()
 {
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -90,6 +90,15 @@
     return *budget;
   }
 
+  /// @brief Sets this instance's share of the retries that all instances may save.
+  void ShareSavedRetries(double aMostSaved)
+  {
+    this->retryOptions.mostSaved = aMostSaved;
+    for (const auto& [service, budget] : this->budgets) {
+      budget->SetMostSaved(aMostSaved);
+    }
+  }
+
   /// @brief Gives placement's view of the present moment.
   PlacementView View() const
   {
--- a/tests/src/unit-retries.cpp
+++ b/tests/src/unit-retries.cpp
@@ -97,3 +97,20 @@
   CHECK_FALSE(
     retries::MayWaitForPlace(now, now + std::chrono::seconds(1), now + std::chrono::seconds(1)));
 }
+
+TEST_CASE("the share of a budget shrinks with the number of instances that share it")
+{
+  RetryOptions options;
+  options.retriesPerRequest = 0.0;
+  options.mostSaved = 10.0;
+  RetryBudget budget(options);
+  budget.SetMostSaved(2.0);
+  CHECK(budget.TakeRetry());
+  CHECK(budget.TakeRetry());
+  CHECK_FALSE(budget.TakeRetry());
+  SUBCASE("and grows back only by further requests")
+  {
+    budget.SetMostSaved(10.0);
+    CHECK_FALSE(budget.TakeRetry());
+  }
+}
