--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -367,6 +367,19 @@
   }
 }
 
+TEST_CASE("a target that failed once is used again in time though others are idle")
+{
+  World world;
+  world.Add(Plain("s1", "a"));
+  world.Add(Plain("s2", "a"));
+  const auto chosen = [&] { return ChoosePlain(world.View(), kDesk, {})->id; };
+  const core::TargetId first = chosen();
+  world.health.Record(first, AttemptResult::kFailed, world.now);
+  REQUIRE(chosen() != first);
+  world.now += 60s;
+  CHECK(chosen() == first);
+}
+
 TEST_CASE("the time to read a prompt is learnt for each engine")
 {
   PrefillModel model;
