--- a/include/plantainslip/serving/load_book.hpp
+++ b/include/plantainslip/serving/load_book.hpp
@@ -63,16 +63,14 @@
   void Remove(const core::TargetId& aTarget, const TargetLoad& aLoad);
 
   /// @brief Takes a peer's report in place of its last one. Linear in the number of peers and in
-  /// the
-  ///        size of the reports.
+  ///        the size of the reports.
   void SetPeer(const core::InstanceId& aPeer, LoadTable aLoads, core::MonotonicTime aNow);
 
   /// @brief Gives what this instance has sent.
   const LoadTable& Own() const { return this->own; }
 
   /// @brief Gives what all instances have sent to a target. Logarithmic in the number of targets
-  /// while
-  ///        all reports are fresh, else linear in the number of peers.
+  ///        while all reports are fresh, else linear in the number of peers.
   TargetLoad Total(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
 
   /// @brief Counts peers whose reports are fresh; linear in the number of peers.
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -118,8 +118,7 @@
 }
 
 /// @brief Makes the load of a cache on its way, at the engine that gives it or, with a request, at
-/// the
-///        one that takes it.
+///        the one that takes it.
 inline TargetLoad
 HandoverLoad(double aRequests)
 {
