--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -2,10 +2,21 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace plantainslip::serving {
 
+namespace {
+
+// A process that started later at the same address. Those that do not say when are left alone.
+bool
+HasTakenOver(const Target& aLater, const Target& aEarlier)
+{
+  return aLater.id != aEarlier.id && aLater.address == aEarlier.address &&
+         aEarlier.startedAt != 0 && aLater.startedAt > aEarlier.startedAt;
+}
+
+} // namespace
+
 bool
 Directory::Remove(const core::TargetId& aId, core::MonotonicTime aNow)
 {
@@ -26,9 +37,7 @@
 Directory::Superseded(const Target& aTarget) const
 {
   return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& aEntry) {
-    const Target& other = aEntry.second;
-    return other.id != aTarget.id && other.address == aTarget.address && aTarget.startedAt != 0 &&
-           other.startedAt > aTarget.startedAt;
+    return HasTakenOver(aEntry.second, aTarget);
   });
 }
 
@@ -36,11 +45,9 @@
 Directory::DropSuperseded(const Target& aBy)
 {
   std::erase_if(this->targets, [&](const auto& aEntry) {
-    const Target& other = aEntry.second;
-    const bool gone = other.id != aBy.id && other.address == aBy.address && other.startedAt != 0 &&
-                      aBy.startedAt > other.startedAt;
+    const bool gone = HasTakenOver(aBy, aEntry.second);
     if (gone) {
-      this->lapsing.erase(other.id);
+      this->lapsing.erase(aEntry.first);
     }
     return gone;
   });
