Mend requests that do not arrive, targets never used again, and answers without end

Causes - The disconnect watch of a caller's connection started another read after it was stopped, if the next request had just arrived: the session then waited for the caller's next bytes (502 after 45% of the time). - A failure counted in placement until the target's next attempt, which never came while another was idle. - An idempotent call was cut at 45% of its time although no other target could serve it. - Buffers of responses had no limit (endless chunk headers, trailers, interim responses, responses to other requests, events without a boundary); a body that broke off counted as the target's success, and an idempotent call was not sent elsewhere then. - A repeated attempt at the same target could reuse the connection of the first one, and take a late second copy of its response, which bears the same request id, for its own. - An exception in a coroutine was dropped without a line, and ended its loop for good.

Change - The watch does not read once it is stopped. Failure rates halve every five seconds. HasAlternative() decides whether an attempt is cut early. Bounded buffers and event sizes; the body is read before an attempt is judged. A repeated attempt at a target opens a new connection.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "http_listener.hpp"
 #include "load_exchange.hpp"
 #include "request_path.hpp"
+#include "spawn.hpp"
 #include "store_wire.hpp"
 #include "target_wire.hpp"
 
@@ -285,13 +286,12 @@
     return opened;
   }
   core::Log(core::LogLevel::kInfo, "started", { { "callers", this->settings.callers.Text() } });
-  asio::co_spawn(
-    this->traffic, [this]() -> Task<void> { return this->HandleSignals(); }, asio::detached);
+  serving::SpawnLoop(this->traffic, "handle signals", [this] { return this->HandleSignals(); });
   if (const absl::Status started = this->controller->Start(); !started.ok()) {
     return started;
   }
-  std::jthread controlThread([this] { this->control.run(); });
-  this->traffic.run();
+  std::jthread controlThread([this] { serving::RunContext(this->control, "control thread"); });
+  serving::RunContext(this->traffic, "traffic thread");
   this->control.stop();
   return absl::OkStatus();
 }
@@ -302,7 +302,7 @@
 RunGateway(const wire::Settings& aSettings)
 {
   // Never destroyed: the contexts still hold coroutines that refer to the other members.
-  static Gateway& gateway = *new Gateway(aSettings);
+  static Gateway& gateway = *new Gateway(aSettings, aOptions);
   return gateway.Run();
 }
 
--- a/include/plantainslip/serving/event_stream.hpp
+++ b/include/plantainslip/serving/event_stream.hpp
@@ -12,8 +12,12 @@
 class EventStream
 {
 public:
+  /// @brief Max size of one event. Bytes without an event boundary beyond it are no event stream.
+  static constexpr std::size_t kMaxEventBytes = 262'144;
+
   /// @brief Appends received bytes and extracts the events that are complete.
-  /// @return the text of these events; empty if there are none. Linear in the buffered bytes.
+  /// @return the text of these events; empty if there are none. Linear in the received bytes and
+  ///         the extracted ones.
   std::string ExtractComplete(std::string_view aBytes);
 
   /// @brief Returns the last event id among the extracted events; empty before the first.
@@ -22,6 +26,9 @@
   /// @brief Discards the buffered beginning of an event that will not be completed.
   void DropPartial() { this->partial.clear(); }
 
+  /// @brief Returns whether the buffered event is longer than #kMaxEventBytes.
+  bool IsOversized() const { return this->partial.size() > kMaxEventBytes; }
+
   /// @brief Returns whether an incomplete event is buffered.
   bool HasPartial() const { return !this->partial.empty(); }
 
--- a/include/plantainslip/serving/target_health.hpp
+++ b/include/plantainslip/serving/target_health.hpp
@@ -41,6 +41,11 @@
   /// @brief Weight of the newest result in the failure rate, a moving average over about ten
   ///        attempts.
   static constexpr double kSmoothingFactor = 0.1;
+  /// @brief Time in which a failure rate halves without further attempts, so that a target that
+  ///        gets no work because of its failures is tried again.
+  static constexpr milliseconds kFailureHalfLife{ 5'000 };
+  /// @brief Failure rate below which a target counts as healthy.
+  static constexpr double kNegligibleFailureRate = 0.005;
 
   /// @brief Minimum number of peers that must report a target as unreachable before it is avoided:
   ///        a single one may be cut off itself.
@@ -67,14 +72,16 @@
                      std::vector<core::TargetId> aUnreachable,
                      core::MonotonicTime aNow);
 
-  /// @brief Returns the moving average of failed attempts, from 0 to 1. Logarithmic in the number
-  ///        of targets.
-  double FailureRate(const core::TargetId& aTarget) const;
+  /// @brief Returns the moving average of failed attempts, from 0 to 1, reduced by the time since
+  ///        the last attempt. Logarithmic in the number of targets.
+  double FailureRate(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
 
 private:
   struct TargetRecord
   {
+    /// @brief Failure rate at the time of the last attempt.
     double failureRate = 0.0;
+    core::MonotonicTime attemptedAt;
     int consecutiveUnreachable = 0;
     core::MonotonicTime avoidedUntil;
     std::optional<core::MonotonicTime> answeredAt;
@@ -85,6 +92,7 @@
     core::MonotonicTime receivedAt;
   };
 
+  static double DecayedFailureRate(const TargetRecord& aRecord, core::MonotonicTime aNow);
   bool IsAvoidedByPeers(const core::TargetId& aTarget, core::MonotonicTime aNow) const;
 
   std::map<core::TargetId, TargetRecord> records;
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -15,6 +15,8 @@
 /// therefore use only connections that were in use shortly before.
 constexpr milliseconds kMaxIdleIdempotent{ 4'000 };
 constexpr milliseconds kMaxIdleAtMostOnce{ 1'000 };
+/// Excludes all idle connections.
+constexpr milliseconds kNewConnection{ -1 };
 
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -106,6 +108,20 @@
                                                        : AttemptState::kUnknown;
 }
 
+milliseconds
+AttemptCall::MaxIdle(AttemptStep aStep) const
+{
+  const auto& sentTo = this->request.sentTo;
+  if (std::find(sentTo.begin(), sentTo.end(), this->target.id) != sentTo.end()) {
+    // A second copy of the previous response bears the same request id, so it could be taken for
+    // the response to this attempt.
+    return kNewConnection;
+  }
+  const bool idempotent =
+    this->request.route.kind == RequestKind::kIdempotent || aStep == AttemptStep::kPrefill;
+  return idempotent ? kMaxIdleIdempotent : kMaxIdleAtMostOnce;
+}
+
 Task<Attempt>
 AttemptCall::SendAndReadHead(AttemptPlan aPlan, milliseconds aLimit)
 {
@@ -118,10 +134,8 @@
     attempt.state = AttemptState::kCancelled;
     co_return attempt;
   }
-  const bool idempotent =
-    this->request.route.kind == RequestKind::kIdempotent || aPlan.step == AttemptStep::kPrefill;
   auto connection = co_await this->context.pool.Acquire(
-    this->target.address, idempotent ? kMaxIdleIdempotent : kMaxIdleAtMostOnce, this->cancellation);
+    this->target.address, this->MaxIdle(aPlan.step), this->cancellation);
   if (!connection.ok()) {
     attempt.state = this->ClassifyFailure(connection.status());
     // Nothing was sent, whatever ended the wait for the connection.
@@ -171,6 +185,19 @@
   co_return attempt;
 }
 
+Task<std::string>
+AttemptCall::ReadRemainingBody(Attempt& aAttempt)
+{
+  auto body = co_await this->ReadAll();
+  if (!body.ok()) {
+    aAttempt.state = this->ClassifyFailure(body.status());
+    aAttempt.detail = std::string(body.status().message());
+    co_return std::string();
+  }
+  this->ReturnConnection();
+  co_return std::move(*body);
+}
+
 Task<absl::StatusOr<std::string>>
 AttemptCall::ReadAll()
 {
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -48,8 +48,11 @@
   /// @param aLimit  timeout, which covers the body too unless ClearTimeLimit() is called
   Task<Attempt> SendAndReadHead(AttemptPlan aPlan, milliseconds aLimit);
 
-  /// @brief Reads the whole body; only after kAnswered.
-  Task<absl::StatusOr<std::string>> ReadAll();
+  /// @brief Reads the whole body, and returns the connection to the pool; only after kAnswered.
+  ///
+  /// If the body does not end well, the attempt's state and detail are changed to the failure.
+  /// @return the body; empty after a failure
+  Task<std::string> ReadRemainingBody(Attempt& aAttempt);
 
   /// @brief Reads the next part of the body; only after kAnswered. See TargetCall::ReadSome().
   Task<absl::StatusOr<bool>> ReadSome(std::string& aBody) { return this->call->ReadSome(aBody); }
@@ -62,6 +65,8 @@
 
 private:
   std::string RequestHead(AttemptPlan& aPlan) const;
+  milliseconds MaxIdle(AttemptStep aStep) const;
+  Task<absl::StatusOr<std::string>> ReadAll();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
 
   PathContext& context;
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 
 #include "http_head.hpp"
+#include "spawn.hpp"
 
 namespace plantainslip::serving {
 
@@ -25,6 +26,7 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kInternalError = 500;
 
 CallerRequest
 ToCallerRequest(http::request<http::string_body>&& aMessage, core::MonotonicTime aArrival)
@@ -178,7 +180,9 @@
 Task<void>
 CallerSession::WatchForDisconnect()
 {
-  while (this->buffer.size() < kMaxReadAheadBytes) {
+  // A read that completed just before the watch was stopped cannot be cancelled any more; another
+  // one would wait for the caller's next request and delay the current one's end.
+  while (!this->watchStopped && this->buffer.size() < kMaxReadAheadBytes) {
     ErrorCode error;
     const std::size_t count = co_await this->socket.async_read_some(
       this->buffer.prepare(kReadBufferBytes), RedirectError(error));
@@ -198,6 +202,7 @@
 Task<void>
 CallerSession::StopDisconnectWatch()
 {
+  this->watchStopped = true;
   ErrorCode ignored;
   this->socket.cancel(ignored);
   while (this->watching) {
@@ -213,11 +218,25 @@
   Cancellation current;
   this->cancellation = &current;
   this->watching = true;
-  asio::co_spawn(
-    this->socket.get_executor(),
-    [self = this->shared_from_this()]() -> Task<void> { return self->WatchForDisconnect(); },
-    asio::detached);
-  co_await this->listener.handler(aRequest, *this, current);
+  this->watchStopped = false;
+  auto executor = this->socket.get_executor();
+  Spawn(executor, "disconnect watch", [self = this->shared_from_this()] {
+    return self->WatchForDisconnect();
+  });
+  std::exception_ptr error;
+  try {
+    co_await this->listener.handler(aRequest, *this, current);
+  } catch (...) {
+    error = std::current_exception();
+  }
+  if (error != nullptr) {
+    LogUnexpectedException("request " + aRequest.target, error);
+    if (this->answerStarted) {
+      this->Abort();
+    } else {
+      co_await this->WriteWhole(kInternalError, HeaderList(), std::string());
+    }
+  }
   co_await this->StopDisconnectWatch();
   this->cancellation = nullptr;
 }
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -56,6 +56,8 @@
   Cancellation* cancellation = nullptr;
   bool busy = false;
   bool watching = false;
+  /// @brief Set while the disconnect watch must not start another read.
+  bool watchStopped = false;
   bool keepAlive = true;
   bool chunked = true;
   bool omitBody = false;
--- a/src/serving/cancellation.hpp
+++ b/src/serving/cancellation.hpp
@@ -97,6 +97,15 @@
   std::shared_ptr<State> state;
 };
 
+/// @brief Waits for a duration.
+inline Task<void>
+SleepFor(std::chrono::milliseconds aDuration)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aDuration);
+  ErrorCode ignored;
+  co_await timer.async_wait(RedirectError(ignored));
+}
+
 /// @brief Waits for a duration or until the request is cancelled.
 inline Task<void>
 SleepFor(std::chrono::milliseconds aDuration, Cancellation& aCancellation)
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -9,6 +9,7 @@
 #include "http_head.hpp"
 #include "request_path.hpp"
 #include "simple_call.hpp"
+#include "spawn.hpp"
 
 namespace plantainslip::serving {
 
@@ -80,6 +81,7 @@
   bool TakeRetryIfAttemptsRemain();
   bool TakeRetryIfResumable();
   void ReleaseHandle();
+  void CountLateness();
   AttemptPlan DecodePlan() const;
   std::optional<Target> ChooseDecodeEngine() const;
   void RecordPrefill(const PrefillPlacement& aPlace,
@@ -93,6 +95,8 @@
   std::optional<CachedPrompt> cachedPrompt;
   EventStream events;
   TriedTargets triedDecodeEngines;
+  /// @brief Time from the request's arrival until its prompt was prefilled.
+  milliseconds prefillEnded{ 0 };
 };
 
 Task<void>
@@ -112,11 +116,13 @@
 Completion::ReleaseHandle()
 {
   if (this->cachedPrompt.has_value() && !this->cachedPrompt->handle.empty()) {
-    asio::co_spawn(this->context.executor,
-                   DeleteHandle(this->context,
-                                this->cachedPrompt->engine.address,
-                                this->context.protocol.HandlePath(this->cachedPrompt->handle)),
-                   asio::detached);
+    Spawn(this->context.executor,
+          "release handle",
+          [&context = this->context,
+           address = this->cachedPrompt->engine.address,
+           path = this->context.protocol.HandlePath(this->cachedPrompt->handle)] {
+            return DeleteHandle(context, address, path);
+          });
   }
   this->cachedPrompt.reset();
 }
@@ -129,7 +135,7 @@
 {
   if (aAttempt.state == AttemptState::kAnswered) {
     this->context.metrics.prefillCall.Record(aDuration);
-    this->context.prefill.RecordCall(aPlace.target.id, aQueuedTokens + aPlace.tokens, aDuration);
+    this->context.prefill.RecordCall(aPlace.target.id, aQueuedTokens, aPlace.tokens, aDuration);
   }
   if (aAttempt.state == AttemptState::kTimedOut || aAttempt.state == AttemptState::kNotSent) {
     this->context.pool.CloseIdle(aPlace.target.address);
@@ -149,6 +155,23 @@
                        ExcludedTargets(this->request));
 }
 
+// Counts a first event that is late for the stage that it had to wait for.
+void
+Completion::CountLateness()
+{
+  if (this->request.timeToFirstChunk <= this->request.route.objective) {
+    return;
+  }
+  const auto excess = [](milliseconds aTook, milliseconds aExpected) {
+    return std::max(0.0, static_cast<double>((aTook - aExpected).count()));
+  };
+  const double prefill = excess(this->prefillEnded, this->request.expectedPrefillDuration);
+  const double decode =
+    excess(this->request.timeToFirstChunk - this->prefillEnded, kFirstEventDelay);
+  const double share = prefill + decode > 0.0 ? prefill / (prefill + decode) : 1.0;
+  this->context.demand.AddLate(this->request.service.name, share, 1.0 - share);
+}
+
 milliseconds
 Completion::Elapsed() const
 {
@@ -175,6 +198,10 @@
                               aPlace.queueingTime + aPlace.prefillTime * kPrefillTimeoutFactor +
                                 kPrefillTimeoutMargin);
   aAttempt = co_await call.SendAndReadHead(plan, limit);
+  std::string body;
+  if (aAttempt.state == AttemptState::kAnswered && aAttempt.head.status == kOk) {
+    body = co_await call.ReadRemainingBody(aAttempt);
+  }
   const auto duration =
     std::chrono::duration_cast<milliseconds>(this->context.clock.Now() - started);
   this->request.prefillDuration = duration;
@@ -187,15 +214,13 @@
   if (aAttempt.state != AttemptState::kAnswered || aAttempt.head.status != kOk) {
     co_return false;
   }
-  const auto body = co_await call.ReadAll();
-  const auto result = body.ok() ? this->context.protocol.ReadPrefill(*body)
-                                : absl::StatusOr<PrefillResult>(body.status());
+  const auto result = this->context.protocol.ReadPrefill(body);
   if (!result.ok()) {
     aAttempt.detail = std::string(result.status().message());
     co_return false;
   }
-  call.ReturnConnection();
   this->cachedPrompt = CachedPrompt{ aPlace.target, result->handle };
+  this->prefillEnded = this->Elapsed();
   co_return true;
 }
 
@@ -298,6 +323,7 @@
     const auto timeToFirstChunk = this->context.clock.Now() - this->request.caller.arrival;
     this->request.timeToFirstChunk = std::chrono::duration_cast<milliseconds>(timeToFirstChunk);
     this->context.metrics.firstEvent.Record(timeToFirstChunk);
+    this->CountLateness();
     HeaderList headers = ForwardedResponseHeaders(aAttempt.head.headers);
     const bool begun = co_await writer.BeginStream(aAttempt.head.status, std::move(headers));
     if (!begun) {
@@ -325,7 +351,7 @@
       this->request.cancellation.Cancel(CancelReason::kCallerLeft);
       co_return StreamOutcome::kCallerGone;
     }
-    if (!more.ok()) {
+    if (!more.ok() || this->events.IsOversized()) {
       co_return StreamOutcome::kBroken;
     }
     if (!*more) {
@@ -449,6 +475,7 @@
 {
   const PrefillOutcome outcome = co_await this->Prefill();
   if (outcome == PrefillOutcome::kRequestEnded) {
+    this->context.demand.AddLate(this->request.service.name, 1.0, 0.0);
     co_return;
   }
   if (this->request.cancellation.Reason().has_value()) {
@@ -458,6 +485,9 @@
     co_return;
   }
   co_await this->Decode();
+  if (!this->request.writer.HasStarted()) {
+    this->context.demand.AddLate(this->request.service.name, 0.0, 1.0);
+  }
 }
 
 } // namespace
--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -17,6 +17,11 @@
 /// @brief One connection to a target or to the store.
 struct OutgoingConnection
 {
+  /// @brief Max size of a response head, a chunk header or the trailers, and of the bytes read
+  /// ahead
+  ///        with them; a peer that sends more without an end is cut off.
+  static constexpr std::size_t kMaxBufferedBytes = 131'072;
+
   explicit OutgoingConnection(const asio::any_io_executor& aExecutor)
     : socket(aExecutor)
   {
@@ -24,7 +29,7 @@
 
   Tcp::socket socket;
   /// @brief Bytes that were received and not parsed yet.
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{ kMaxBufferedBytes };
   /// @brief Whether it has carried a response before.
   bool reused = false;
 };
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -5,6 +5,8 @@
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
 
+#include "spawn.hpp"
+
 namespace plantainslip::serving {
 
 namespace {
@@ -79,24 +81,18 @@
     return server.status();
   }
   this->changesServer = std::move(*server);
-  const auto run = [this](auto aLoop) { asio::co_spawn(this->context, aLoop, asio::detached); };
-  run([this]() -> Task<void> { return this->configFollower.Run(); });
-  run([this]() -> Task<void> { return this->targetFollower.Run(); });
-  run([this]() -> Task<void> { return this->MaintainEntry(); });
-  run([this]() -> Task<void> { return this->ReadPeers(); });
-  run([this]() -> Task<void> { return this->RemoveLapsedTargets(); });
-  run([this]() -> Task<void> { return this->LeadershipLoop(); });
+  const auto run = [this](const char* aName, std::function<Task<void>()> aLoop) {
+    SpawnLoop(this->context, aName, std::move(aLoop));
+  };
+  run("follow configuration", [this] { return this->configFollower.Run(); });
+  run("follow targets", [this] { return this->targetFollower.Run(); });
+  run("maintain own entry", [this] { return this->MaintainEntry(); });
+  run("read peers", [this] { return this->ReadPeers(); });
+  run("remove lapsed targets", [this] { return this->RemoveLapsedTargets(); });
+  run("lead", [this] { return this->LeadershipLoop(); });
   return absl::OkStatus();
 }
 
-Task<void>
-Control::Sleep(milliseconds aTime)
-{
-  asio::steady_timer timer(this->context, aTime);
-  ErrorCode ignored;
-  co_await timer.async_wait(RedirectError(ignored));
-}
-
 PeerState
 Control::OwnState() const
 {
@@ -234,7 +230,7 @@
 Control::RemoveLapsedTargets()
 {
   while (true) {
-    co_await this->Sleep(kLapseCheckInterval);
+    co_await SleepFor(kLapseCheckInterval);
     if (this->directory.RemoveLapsed(this->clock.Now())) {
       this->PublishUpdate();
     }
@@ -295,7 +291,7 @@
     if (entryValid && this->HasHealthyWatches()) {
       this->RecordConfirmation(before);
     }
-    co_await this->Sleep(this->duty.isWatcher ? kWatcherRenewInterval : kRenewInterval);
+    co_await SleepFor(this->duty.isWatcher ? kWatcherRenewInterval : kRenewInterval);
   }
 }
 
@@ -320,9 +316,9 @@
       }
     }
     const bool noLivePeers = this->peers.empty() || this->livePeerCount == 0;
-    co_await this->Sleep(noLivePeers
-                           ? kInitialPeerReadInterval
-                           : (this->duty.isWatcher ? kWatcherPeerReadInterval : kPeerReadInterval));
+    co_await SleepFor(noLivePeers
+                        ? kInitialPeerReadInterval
+                        : (this->duty.isWatcher ? kWatcherPeerReadInterval : kPeerReadInterval));
   }
 }
 
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -91,8 +91,8 @@
   void PublishUpdate(bool aAnnounce = false);
   void RecordConfirmation(core::MonotonicTime aAt);
   bool HasHealthyWatches() const;
+  bool IsSettling(const Service& aService) const;
   PeerState OwnState() const;
-  Task<void> Sleep(milliseconds aTime);
 
   asio::io_context& context;
   AsyncStore& store;
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -122,7 +122,7 @@
         ? 1.0
         : std::max(1.0, static_cast<double>(this->livePeerCount) / kCandidatesPerInterval);
     const double jitteredFactor = intervalFactor * (0.75 + 0.5 * this->random.Fraction());
-    co_await this->Sleep(milliseconds(
+    co_await SleepFor(milliseconds(
       static_cast<std::int64_t>(static_cast<double>(kLeadInterval.count()) * jitteredFactor)));
   }
 }
--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -1,5 +1,7 @@
 #include <plantainslip/serving/event_stream.hpp>
 
+#include <algorithm>
+
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
@@ -8,10 +10,15 @@
 std::string
 EventStream::ExtractComplete(std::string_view aBytes)
 {
+  constexpr std::size_t kLongestSeparator = 4;
+  // A boundary may have started in the bytes received before; older ones contain none.
+  const std::size_t known = this->partial.size();
+  const std::size_t searchFrom = known - std::min(known, kLongestSeparator - 1);
   this->partial.append(aBytes);
+  const std::string_view searched = std::string_view(this->partial).substr(searchFrom);
   const auto endOfLast = [&](std::string_view aSeparator) {
-    const std::size_t found = this->partial.rfind(aSeparator);
-    return found == std::string::npos ? 0 : found + aSeparator.size();
+    const std::size_t found = searched.rfind(aSeparator);
+    return found == std::string_view::npos ? 0 : searchFrom + found + aSeparator.size();
   };
   const std::size_t boundary = std::max(endOfLast("\n\n"), endOfLast("\r\n\r\n"));
   std::string completeEvents = this->partial.substr(0, boundary);
--- a/src/serving/http_listener.cpp
+++ b/src/serving/http_listener.cpp
@@ -6,6 +6,7 @@
 #include <plantainslip/serving/errors.hpp>
 
 #include "caller_session.hpp"
+#include "spawn.hpp"
 
 namespace plantainslip::serving {
 
@@ -37,8 +38,7 @@
   if (error) {
     return core::MakeError(errors::kCannotListen, aAddress.Text() + ": " + error.message());
   }
-  asio::co_spawn(
-    aContext, [self = listener.get()]() -> Task<void> { return self->Accept(); }, asio::detached);
+  SpawnLoop(aContext, "accept", [self = listener.get()] { return self->Accept(); });
   return listener;
 }
 
@@ -71,8 +71,7 @@
       continue;
     }
     const auto session = std::make_shared<CallerSession>(*this, std::move(socket));
-    asio::co_spawn(
-      this->context, [session]() -> Task<void> { return session->Run(); }, asio::detached);
+    Spawn(this->context, "caller session", [session] { return session->Run(); });
   }
 }
 
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -5,6 +5,8 @@
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
 
+#include "spawn.hpp"
+
 namespace plantainslip::serving {
 
 namespace {
@@ -48,10 +50,8 @@
     return core::MakeError(errors::kCannotListen, aSelf.address.Text() + ": " + error.message());
   }
   LoadExchange* const started = exchange.get();
-  asio::co_spawn(
-    aContext, [started]() -> Task<void> { return started->ReceiveLoop(); }, asio::detached);
-  asio::co_spawn(
-    aContext, [started]() -> Task<void> { return started->SendLoop(); }, asio::detached);
+  SpawnLoop(aContext, "receive peer messages", [started] { return started->ReceiveLoop(); });
+  SpawnLoop(aContext, "send peer messages", [started] { return started->SendLoop(); });
   return exchange;
 }
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -163,7 +163,7 @@
   const Target* const best = FindCheapest(candidates, [&](const Target& aTarget) {
     const auto work = wait(aTarget) + aView.prefill.Duration(aTarget.id, tokens);
     const double failurePenalty =
-      aView.health.FailureRate(aTarget.id) * kFailureRequests * kFailureMs;
+      aView.health.FailureRate(aTarget.id, aView.now) * kFailureRequests * kFailureMs;
     return static_cast<double>(work.count()) + failurePenalty + contention(aTarget) +
            (aTarget.zone == aView.ownZone ? 0.0 : kCrossZoneMs) + HomeCost(homes, aTarget);
   });
@@ -204,7 +204,7 @@
     const double utilization =
       load.requests / static_cast<double>(std::max<std::uint64_t>(1, aTarget.slots));
     const auto reading = aView.prefill.Duration(aTarget.id, load.TokensBefore(kPriorityLevels - 1));
-    const double failureRate = aView.health.FailureRate(aTarget.id);
+    const double failureRate = aView.health.FailureRate(aTarget.id, aView.now);
     constexpr double kFullBatchMs = 150.0;
     return (utilization + failureRate) * kFullBatchMs + static_cast<double>(reading.count()) +
            load.cacheTransfers * kTransferMs + (aTarget.zone == aCacheZone ? 0.0 : kCrossZoneMs) +
@@ -222,7 +222,7 @@
     aView, aTried, [&](const Target& aTarget) { return aTarget.service == aService; });
   const Target* const best = FindCheapest(candidates, [&](const Target& aTarget) {
     return aView.loads.Total(aTarget.id, aView.now).requests +
-           aView.health.FailureRate(aTarget.id) * kFailureRequests +
+           aView.health.FailureRate(aTarget.id, aView.now) * kFailureRequests +
            (aTarget.zone == aView.ownZone ? 0.0 : kCrossZoneRequests);
   });
   return best == nullptr ? std::nullopt : std::optional<Target>(*best);
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -33,9 +33,9 @@
 /// From this number of unreachable targets on, another target needs a retry; without one the
 /// request is refused.
 constexpr std::size_t kMaxUnreachable = 3;
-/// Share of the remaining time that an idempotent attempt may take unless it is the last one; the
-/// rest is for another target.
-constexpr double kNonLastAttemptShare = 0.45;
+/// Share of the remaining time that an idempotent attempt may take while another target could still
+/// serve the request.
+constexpr double kFirstAttemptShare = 0.45;
 
 Task<void>
 RefuseUnrouted(PathContext& aContext, const CallerRequest& aRequest, AnswerWriter& aWriter)
@@ -54,22 +54,24 @@
     routesConfirmed ? kNotFound : kUnavailable, std::move(headers), std::move(empty));
 }
 
-// Reads a target's response whole and forwards it. Returns false if the connection broke.
-Task<bool>
-ForwardResponse(PathContext& aContext,
-                PathRequest& aRequest,
-                AttemptCall& aCall,
-                const Attempt& aAttempt)
+// Returns whether a plain request may still be sent to a target other than the given one.
+bool
+HasAlternative(PathContext& aContext, const PathRequest& aRequest, const Target& aTarget)
 {
-  absl::StatusOr<std::string> body = co_await aCall.ReadAll();
-  if (!body.ok()) {
-    co_return false;
+  if (static_cast<int>(aRequest.attempts) + 1 >= aRequest.route.maxTargets) {
+    return false;
   }
-  aCall.ReturnConnection();
+  TriedTargets tried = ExcludedTargets(aRequest);
+  tried.push_back(aTarget.id);
+  return ChoosePlain(aContext.View(), aRequest.service.name, tried).has_value();
+}
+
+Task<void>
+ForwardResponse(PathContext& aContext, PathRequest& aRequest, Attempt& aAttempt, std::string aBody)
+{
   LogRequestEnd(aContext, aRequest, aAttempt.head.status, "answered");
   HeaderList headers = ForwardedResponseHeaders(aAttempt.head.headers);
-  co_await aRequest.writer.WriteWhole(aAttempt.head.status, std::move(headers), std::move(*body));
-  co_return true;
+  co_await aRequest.writer.WriteWhole(aAttempt.head.status, std::move(headers), std::move(aBody));
 }
 
 } // namespace
@@ -180,13 +182,17 @@
     const LoadScope load(aContext.loads, target->id, { 1.0, {} });
     AttemptCall call(aContext, aRequest, *target);
     AttemptPlan plan;
-    const bool lastAttempt = static_cast<int>(aRequest.attempts) + 1 >= aRequest.route.maxTargets;
+    const bool hasAlternative = HasAlternative(aContext, aRequest, *target);
     const auto remaining = TimeLeft(aContext, aRequest);
-    const auto limit = idempotent && !lastAttempt
+    const auto limit = idempotent && hasAlternative
                          ? milliseconds(static_cast<std::int64_t>(
-                             static_cast<double>(remaining.count()) * kNonLastAttemptShare))
+                             static_cast<double>(remaining.count()) * kFirstAttemptShare))
                          : remaining + milliseconds(1);
     Attempt attempt = co_await call.SendAndReadHead(plan, limit);
+    std::string body;
+    if (attempt.state == AttemptState::kAnswered) {
+      body = co_await call.ReadRemainingBody(attempt);
+    }
     if (const auto targetResult = ToAttemptResult(attempt)) {
       aContext.health.Record(target->id, *targetResult, aContext.clock.Now());
     }
@@ -202,15 +208,13 @@
     constexpr int kServerError = 500;
     const bool failed = attempt.state != AttemptState::kAnswered ||
                         (idempotent && attempt.head.status == kServerError);
-    const bool mayRetry = failed && !lastAttempt && (idempotent || !aRequest.mayHaveRun);
+    const bool mayRetry = failed && hasAlternative && (idempotent || !aRequest.mayHaveRun);
     if (mayRetry && TryTakeRetry(aContext, aRequest)) {
       continue;
     }
-    bool forwarded = false;
     if (attempt.state == AttemptState::kAnswered) {
-      forwarded = co_await ForwardResponse(aContext, aRequest, call, attempt);
-    }
-    if (!forwarded) {
+      co_await ForwardResponse(aContext, aRequest, attempt, std::move(body));
+    } else {
       std::string reason = attempt.detail.empty() ? "broken_off" : attempt.detail;
       co_await FailRequest(aContext, aRequest, std::move(reason));
     }
--- a/src/serving/store_follower.cpp
+++ b/src/serving/store_follower.cpp
@@ -6,6 +6,8 @@
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
 
+#include "spawn.hpp"
+
 namespace plantainslip::serving {
 
 namespace {
@@ -76,14 +78,6 @@
 {
 }
 
-Task<void>
-StoreFollower::Sleep(milliseconds aTime)
-{
-  asio::steady_timer timer(this->context, aTime);
-  ErrorCode ignored;
-  co_await timer.async_wait(RedirectError(ignored));
-}
-
 milliseconds
 StoreFollower::NextWatchTimeout()
 {
@@ -163,7 +157,7 @@
   this->needsFullList = false;
   this->ApplyChanges(*items, fullList, ChangeOrigin::kStore, this->outageAt);
   if (!items->items.empty()) {
-    co_await this->Sleep(fullList ? kPeerDiscoveryTime : this->batchDelay);
+    co_await SleepFor(fullList ? kPeerDiscoveryTime : this->batchDelay);
   }
   co_return true;
 }
@@ -174,14 +168,14 @@
   milliseconds backoff = kMinBackoff;
   while (true) {
     if (!this->needsFullList && !this->duty.isWatcher) {
-      co_await this->Sleep(kDutyCheckInterval);
+      co_await SleepFor(kDutyCheckInterval);
       continue;
     }
     if (co_await this->ReadStore()) {
       backoff = kMinBackoff;
       continue;
     }
-    co_await this->Sleep(backoff);
+    co_await SleepFor(backoff);
     backoff = std::min(backoff * 2, kMaxBackoff);
   }
 }
@@ -198,13 +192,11 @@
   this->catchingUp = true;
   const auto delay =
     this->duty.isWatcher ? kOwnWatchDelay : (aSameZone ? milliseconds(0) : kCrossZoneDelay);
-  asio::co_spawn(
-    this->context,
-    [this, aPeerRevision, aPeer, delay]() -> Task<void> {
-      co_await this->CatchUp(aPeerRevision, aPeer, delay);
-      this->catchingUp = false;
-    },
-    asio::detached);
+  Spawn(this->context, "catch up", [this, aPeerRevision, aPeer, delay]() -> Task<void> {
+    // Also reset if an exception ends the attempt, so that the next one can start.
+    const std::shared_ptr<bool> reset(&this->catchingUp, [](bool* aFlag) { *aFlag = false; });
+    co_await this->CatchUp(aPeerRevision, aPeer, delay);
+  });
 }
 
 Task<bool>
@@ -234,7 +226,7 @@
 StoreFollower::CatchUp(core::Revision aPeerRevision, net::Address aPeer, milliseconds aDelay)
 {
   if (aDelay.count() > 0) {
-    co_await this->Sleep(aDelay);
+    co_await SleepFor(aDelay);
   }
   if (this->replica.UpTo() >= aPeerRevision) {
     co_return;
--- a/src/serving/store_follower.hpp
+++ b/src/serving/store_follower.hpp
@@ -83,7 +83,6 @@
                     std::optional<core::MonotonicTime> aOutageAt);
   void RecordOutage(const absl::Status& aStatus);
   milliseconds NextWatchTimeout();
-  Task<void> Sleep(milliseconds aTime);
 
   asio::io_context& context;
   AsyncStore& store;
--- a/src/serving/target_call.cpp
+++ b/src/serving/target_call.cpp
@@ -18,6 +18,10 @@
 constexpr std::uint32_t kMaxHeadBytes = 65'536;
 /// Max late responses to other requests that are skipped before the call fails.
 constexpr int kMaxForeignResponses = 3;
+/// Max interim (1xx) responses before the call fails; a target sends at most a few.
+constexpr int kMaxInterimResponses = 8;
+/// Max body of a late response to another request; beyond it a new connection is cheaper.
+constexpr std::size_t kMaxForeignBodyBytes = 262'144;
 
 // Returns the timeout stated in a `Keep-Alive` header field, or zero.
 std::chrono::milliseconds
@@ -114,7 +118,9 @@
 Task<absl::StatusOr<ResponseHead>>
 TargetCall::ReadHead(bool aSkipBody)
 {
-  for (int foreignResponses = 0; foreignResponses <= kMaxForeignResponses;) {
+  int foreignResponses = 0;
+  int interimResponses = 0;
+  while (foreignResponses <= kMaxForeignResponses && interimResponses <= kMaxInterimResponses) {
     const absl::Status read = co_await this->ReadOneHead(aSkipBody);
     if (!read.ok()) {
       co_return read;
@@ -125,14 +131,10 @@
     const bool interim = status < kFirstFinalStatus;
     if (interim || this->IsForAnotherRequest()) {
       foreignResponses += interim ? 0 : 1;
-      std::string discarded;
-      auto more = co_await this->ReadSome(discarded);
-      while (more.ok() && *more) {
-        discarded.clear();
-        more = co_await this->ReadSome(discarded);
-      }
-      if (!more.ok()) {
-        co_return more.status();
+      interimResponses += interim ? 1 : 0;
+      const auto discarded = co_await this->ReadAll(kMaxForeignBodyBytes);
+      if (!discarded.ok()) {
+        co_return discarded.status();
       }
       continue;
     }
@@ -146,7 +148,8 @@
     }
     co_return head;
   }
-  co_return core::MakeError(errors::kBadAnswer, "answers to other requests only");
+  co_return core::MakeError(errors::kBadAnswer,
+                            "only interim responses or responses to other requests");
 }
 
 Task<absl::StatusOr<bool>>
--- a/src/serving/target_health.cpp
+++ b/src/serving/target_health.cpp
@@ -1,9 +1,20 @@
 #include <plantainslip/serving/target_health.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace plantainslip::serving {
 
+double
+TargetHealth::DecayedFailureRate(const TargetRecord& aRecord, core::MonotonicTime aNow)
+{
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  const double halfLives =
+    Milliseconds(aNow - aRecord.attemptedAt) / Milliseconds(kFailureHalfLife);
+  const double rate = aRecord.failureRate * std::exp2(-std::max(0.0, halfLives));
+  return rate < kNegligibleFailureRate ? 0.0 : rate;
+}
+
 void
 TargetHealth::Record(const core::TargetId& aTarget, AttemptResult aResult, core::MonotonicTime aNow)
 {
@@ -11,7 +22,9 @@
   const bool targetMissing =
     aResult == AttemptResult::kUnreachable || aResult == AttemptResult::kMisdirected;
   const bool failed = aResult == AttemptResult::kFailed || targetMissing;
-  record.failureRate += kSmoothingFactor * ((failed ? 1.0 : 0.0) - record.failureRate);
+  const double rateBefore = DecayedFailureRate(record, aNow);
+  record.failureRate = rateBefore + kSmoothingFactor * ((failed ? 1.0 : 0.0) - rateBefore);
+  record.attemptedAt = aNow;
   if (!targetMissing) {
     record.consecutiveUnreachable = 0;
     record.avoidedUntil = {};
@@ -81,10 +94,10 @@
 }
 
 double
-TargetHealth::FailureRate(const core::TargetId& aTarget) const
+TargetHealth::FailureRate(const core::TargetId& aTarget, core::MonotonicTime aNow) const
 {
   const auto found = this->records.find(aTarget);
-  return found == this->records.end() ? 0.0 : found->second.failureRate;
+  return found == this->records.end() ? 0.0 : DecayedFailureRate(found->second, aNow);
 }
 
 } // namespace plantainslip::serving
--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPollInterval{ 2 };
+/// Long enough for the caller to send its next request on the connection.
+constexpr std::chrono::milliseconds kSecondCopyDelay{ 50 };
 constexpr int kEventCount = 4;
 
 std::string
@@ -182,12 +184,20 @@
     ++this->abandoned;
     co_return;
   }
-  if (act == TargetBehavior::kShed || act == TargetBehavior::kMisdirected) {
-    HeaderList headers;
-    headers.push_back({ "X-Not-Run", "1" });
-    std::string empty;
-    co_await aWriter.WriteWhole(
-      act == TargetBehavior::kShed ? 503 : 421, std::move(headers), std::move(empty));
+  if (act == TargetBehavior::kShed || act == TargetBehavior::kMisdirected ||
+      act == TargetBehavior::kShedTwice) {
+    const int copies = act == TargetBehavior::kShedTwice ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (copy > 0) {
+        co_await serving::SleepFor(kSecondCopyDelay);
+      }
+      HeaderList headers;
+      headers.push_back({ "X-Request-Id", HeaderOrEmpty(aRequest, "X-Request-Id") });
+      headers.push_back({ "X-Not-Run", "1" });
+      std::string empty;
+      co_await aWriter.WriteWhole(
+        act == TargetBehavior::kMisdirected ? 421 : 503, std::move(headers), std::move(empty));
+    }
     co_return;
   }
   if (act == TargetBehavior::kFail) {
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -27,6 +27,8 @@
   kAnswer,
   /// @brief Responds with 503 and states that it has not run the request.
   kShed,
+  /// @brief As kShed; a second copy of the response follows a little later.
+  kShedTwice,
   /// @brief Responds with 421: the request was meant for another target.
   kMisdirected,
   /// @brief Runs the request and closes the connection without a response.
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -16,19 +16,18 @@
 
 using nlohmann::json;
 
-namespace {
-
-/// @brief Reserves ports of the loopback address. They stay bound until the object is destroyed, so
-///        that none is returned twice.
+/// @brief Reserves ports of the loopback address, so that no other process gets them.
+///
+/// A program can listen on a port for connections while it is reserved, as both sockets allow reuse
+/// of the address. Ports for datagrams are free again after ReleaseDatagramPorts().
 class PortReservation
 {
 public:
   PortReservation() = default;
   ~PortReservation()
   {
-    for (const int descriptor : this->descriptors) {
-      ::close(descriptor);
-    }
+    this->ReleaseDatagramPorts();
+    CloseAll(this->connectionPorts);
   }
   PortReservation(const PortReservation&) = delete;
   PortReservation& operator=(const PortReservation&) = delete;
@@ -39,7 +38,9 @@
   std::optional<std::uint16_t> Reserve(int aType, std::uint16_t aPort)
   {
     const int descriptor = ::socket(AF_INET, aType, 0);
-    this->descriptors.push_back(descriptor);
+    (aType == SOCK_STREAM ? this->connectionPorts : this->datagramPorts).push_back(descriptor);
+    const int reuse = aType == SOCK_STREAM ? 1 : 0;
+    (void)::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -68,10 +69,23 @@
     }
   }
 
+  void ReleaseDatagramPorts() { CloseAll(this->datagramPorts); }
+
 private:
-  std::vector<int> descriptors;
+  static void CloseAll(std::vector<int>& aDescriptors)
+  {
+    for (const int descriptor : aDescriptors) {
+      ::close(descriptor);
+    }
+    aDescriptors.clear();
+  }
+
+  std::vector<int> connectionPorts;
+  std::vector<int> datagramPorts;
 };
 
+namespace {
+
 json
 MakeRoute(const std::string& aName, const std::string& aKind, const std::string& aService)
 {
@@ -168,13 +182,29 @@
                       const std::string& aStage,
                       const std::string& aState)
 {
-  json entry = { { "service", aService }, { "address", aTarget.Address().Text() },
+  this->WriteEntry(aTarget.Id(), aTarget.Address(), aService, aStage, aState);
+}
+
+void
+WireFleet::WriteEntry(const std::string& aId,
+                      const net::Address& aAddress,
+                      const std::string& aService,
+                      const std::string& aStage,
+                      const std::string& aState)
+{
+  json entry = { { "service", aService }, { "address", aAddress.Text() },
                  { "zone", "a" },         { "slots", 8 },
                  { "state", aState },     { "sequence", 1 } };
   if (!aStage.empty()) {
     entry["stage"] = aStage;
   }
-  this->store->Put("servers/" + aTarget.Id(), entry.dump());
+  this->store->Put("servers/" + aId, entry.dump());
+}
+
+void
+WireFleet::RemoveEntry(const std::string& aId)
+{
+  this->store->Remove("servers/" + aId);
 }
 
 void
@@ -210,7 +240,8 @@
   this->callers = { "127.0.0.1", ports->Reserve(SOCK_STREAM, 0).value() };
   this->readiness = { "127.0.0.1", ports->Reserve(SOCK_STREAM, 0).value() };
   const std::uint16_t internalPort = ports->ReservePair();
-  ports.reset();
+  ports->ReleaseDatagramPorts();
+  this->reservations.push_back(std::move(ports));
   this->metrics = { "127.0.0.1", static_cast<std::uint16_t>(internalPort + 1) };
   const std::string name = "one-" + std::to_string(this->gateways.size());
   const json settings = {
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -23,6 +23,8 @@
   bool complete = false;
 };
 
+class PortReservation;
+
 /// @brief Gateway processes in front of fakes of the platform's store and targets.
 class WireFleet
 {
@@ -47,6 +49,16 @@
                   const std::string& aStage,
                   const std::string& aState = "ready");
 
+  /// @brief Writes or replaces the directory entry of a target with a given address.
+  void WriteEntry(const std::string& aId,
+                  const net::Address& aAddress,
+                  const std::string& aService,
+                  const std::string& aStage,
+                  const std::string& aState = "ready");
+
+  /// @brief Removes a target's directory entry.
+  void RemoveEntry(const std::string& aId);
+
   /// @brief Writes a configuration with the routes `/quote/` (stream, one target), `/note/`
   ///        (resumable stream, two targets), `/pay/` (at most once) and `/look/` (idempotent, two
   ///        targets).
@@ -87,6 +99,7 @@
   serving::asio::executor_work_guard<serving::asio::io_context::executor_type> work;
   std::unique_ptr<fakes::WireStore> store;
   std::vector<std::unique_ptr<fakes::WireTarget>> targets;
+  std::vector<std::unique_ptr<PortReservation>> reservations;
   std::vector<std::unique_ptr<ChildProcess>> gateways;
   net::Address callers;
   net::Address readiness;
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -143,6 +143,12 @@
     CHECK(events.ExtractComplete("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(events.LastEventId() == "2");
   }
+  SUBCASE("bytes without an event boundary are recognised as no event stream")
+  {
+    CHECK(events.ExtractComplete(std::string(EventStream::kMaxEventBytes, 'x')).empty());
+    CHECK(events.ExtractComplete("xxxxxxxxxx").empty());
+    CHECK(events.IsOversized());
+  }
   SUBCASE("lines may end with CRLF")
   {
     events.DropPartial();
