Plan the engines' stages by measured demand

Cause: the split followed from the batch slots alone (some 20 streams an engine) and nothing changed it.

Change: every instance counts the demand that it sees and sends it, cumulative, with its load reports; the lease holder estimates prompts, prefill work, open streams, memory, transfers, and the share of prompts that each stage made late. A change of the split needs measured lateness that it would reduce by more than it costs; queueing theory (busy engines, batch slots, cache memory, links, in a burst) only speaks against a change. No new plan before the demand shows the last one.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -41,8 +41,9 @@
 class Gateway
 {
 public:
-  explicit Gateway(const wire::Settings& aSettings)
+  Gateway(const wire::Settings& aSettings, const GatewayOptions& aOptions)
     : settings(aSettings)
+    , ownOptions(aOptions)
     , path{
       this->traffic.get_executor(), this->targetWire, this->clock, this->targetPool, this->metrics,
       this->settings.zone
@@ -66,6 +67,7 @@
   static serving::PoolOptions TargetPoolOptions() { return {}; }
 
   wire::Settings settings;
+  GatewayOptions ownOptions;
   core::SystemClock clock;
   asio::io_context traffic{ 1 };
   asio::io_context control{ 1 };
@@ -162,6 +164,8 @@
   options.self = self;
   options.linkMbps = this->settings.linkMbps;
   options.leaseDuration = this->settings.orderLeaseDuration;
+  options.initialDecodeShare = this->ownOptions.initialDecodeShare;
+  options.stageChangeCosts = this->ownOptions.stageChangeCosts;
   this->controller = std::make_unique<serving::Control>(
     this->control,
     this->store,
@@ -174,17 +178,17 @@
         this->ApplyUpdate(std::move(update));
       });
     });
-  auto opened =
-    serving::LoadExchange::Open(this->traffic,
-                                self,
-                                this->settings.linkMbps,
-                                this->path,
-                                [this](std::vector<serving::PeerState> aPeers) {
-                                  this->UpdateRetryBudget(aPeers.size());
-                                  asio::post(this->control, [this, peers = std::move(aPeers)] {
-                                    this->controller->UpdatePeers(peers);
-                                  });
-                                });
+  auto opened = serving::LoadExchange::Open(
+    this->traffic,
+    self,
+    this->settings.linkMbps,
+    this->path,
+    [this](std::vector<serving::PeerState> aPeers, serving::DemandTable aDemand) {
+      this->UpdateRetryBudget(aPeers.size());
+      asio::post(this->control, [this, peers = std::move(aPeers), demand = std::move(aDemand)] {
+        this->controller->UpdatePeers(peers, demand);
+      });
+    });
   if (!opened.ok()) {
     return opened.status();
   }
@@ -299,7 +303,7 @@
 } // namespace
 
 absl::Status
-RunGateway(const wire::Settings& aSettings)
+RunGateway(const wire::Settings& aSettings, const GatewayOptions& aOptions)
 {
   // Never destroyed: the contexts still hold coroutines that refer to the other members.
   static Gateway& gateway = *new Gateway(aSettings, aOptions);
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -1,39 +1,82 @@
-#include <chrono>
 #include <csignal>
 #include <iostream>
-#include <thread>
 
 #include <plantainslip/core/log.hpp>
 
-#include "../common/version.hpp"
+#include "../common/command_line.hpp"
 #include "directory_wire.hpp"
 #include "gateway.hpp"
 #include "settings.hpp"
 
+namespace {
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+
+/// @brief Values of the flags, in the units that they are given in.
+struct Flags
+{
+  apps::GatewayOptions options;
+  unsigned horizonSeconds = static_cast<unsigned>(serving::StageChangeCosts{}.horizon.count());
+};
+
+void
+AddFlags(apps::CommandLine& aLine, Flags& aFlags)
+{
+  const std::string group = "Stages of the engines";
+  constexpr double kMinShare = 0.01;
+  constexpr double kMaxShare = 0.99;
+  constexpr unsigned kMaxHorizonSeconds = 3'600;
+  constexpr double kMaxRequestsPerOrder = 10'000.0;
+  aLine
+    .Add("initial-decode-share",
+         aFlags.options.initialDecodeShare,
+         "Share of a service's engines that decode until its demand is known; without it, "
+         "the share follows from the engines' batch slots",
+         group)
+    ->check(CLI::Range(kMinShare, kMaxShare));
+  aLine
+    .Add("demand-horizon-s",
+         aFlags.horizonSeconds,
+         "Seconds for which the present demand is expected to last",
+         group)
+    ->check(CLI::Range(1U, kMaxHorizonSeconds));
+  aLine
+    .Add("requests-per-order",
+         aFlags.options.stageChangeCosts.requestsPerOrder,
+         "Price of an order to change an engine's stage, in requests",
+         group)
+    ->check(CLI::Range(0.0, kMaxRequestsPerOrder));
+}
+
+} // namespace
+
 int
 main(int aArgumentCount, char** aArguments)
 {
-  using namespace plantainslip;
   std::signal(SIGPIPE, SIG_IGN);
-  if (aArgumentCount > 1) {
-    std::cerr << "usage: " << aArguments[0]
-              << "\nreads the settings file that PLANTAINSLIP_SETTINGS names\n";
-    return 2;
+  Flags flags;
+  apps::CommandLine line("plantainslip-gateway",
+                         "Serves callers on the users' platform; reads the settings file that "
+                         "PLANTAINSLIP_SETTINGS names.");
+  AddFlags(line, flags);
+  if (const auto exitCode = line.Parse(aArgumentCount, aArguments); exitCode.has_value()) {
+    return *exitCode;
   }
   const auto path = wire::SettingsPath();
   const auto settings =
     path.ok() ? wire::ReadSettings(*path) : absl::StatusOr<wire::Settings>(path.status());
   if (!settings.ok()) {
     std::cerr << settings.status().message() << "\n";
-    return 2;
+    return apps::kExitBadSettings;
   }
+  flags.options.stageChangeCosts.horizon = std::chrono::seconds(flags.horizonSeconds);
   core::InitializeLog({ "plantainslip-gateway", settings->instance.Text(), settings->zone.Text() },
-                      core::LogLevel::kInfo);
-  const absl::Status result = apps::RunGateway(*settings);
+                      line.LogLevel());
+  const absl::Status result = apps::RunGateway(*settings, flags.options);
   if (!result.ok()) {
     core::Log(
       core::LogLevel::kError, "failed to start", { { "error", std::string(result.message()) } });
-    return 1;
+    return apps::kExitFailed;
   }
-  return 0;
+  return apps::kExitDone;
 }
--- a/include/plantainslip/serving/fleet.hpp
+++ b/include/plantainslip/serving/fleet.hpp
@@ -66,6 +66,9 @@
   std::uint64_t slots = 1;
   std::uint64_t cacheTokens = 0;
   std::uint64_t bytesPerToken = 0;
+  /// @brief Bandwidth of the link that caches are moved over, in megabits per second; zero if
+  ///        unknown.
+  double linkMbps = 0.0;
   /// @brief How long an engine keeps the cache that a prefill handle refers to.
   milliseconds handleLifetime{ 0 };
   /// @brief How long an engine is unavailable while it changes its stage.
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <plantainslip/serving/load_tracker.hpp>
+#include <plantainslip/serving/stage_demand.hpp>
 
 namespace plantainslip::serving {
 
@@ -28,6 +29,8 @@
   LoadTable loads;
   /// @brief Targets that the sender currently cannot reach.
   std::vector<core::TargetId> unreachable;
+  /// @brief Demand that the sender has seen since its start.
+  DemandTable demand;
 };
 
 /// @brief Encodes a message as CBOR. Linear in the number of targets.
--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -10,6 +10,9 @@
 
 namespace plantainslip::serving {
 
+/// @brief Time from the end of the prefill to the first event at the caller.
+inline constexpr milliseconds kFirstEventDelay{ 95 };
+
 /// @brief Inputs of placement other than the request.
 struct PlacementView
 {
--- a/include/plantainslip/serving/stage_plan.hpp
+++ b/include/plantainslip/serving/stage_plan.hpp
@@ -3,7 +3,7 @@
 #include <optional>
 #include <vector>
 
-#include <plantainslip/serving/fleet.hpp>
+#include <plantainslip/serving/stage_demand.hpp>
 
 namespace plantainslip::serving {
 
@@ -22,6 +22,8 @@
   /// @brief Shortfall per zone that is not corrected, in engines: a stage change makes an engine
   ///        unavailable for seconds.
   std::size_t toleratedShortfall = 0;
+  /// @brief Whether only zones that lack a stage are changed.
+  bool onlyMissingStages = false;
 };
 
 /// @brief Time without a membership change after which all targets are assumed to have started:
@@ -39,13 +41,101 @@
 std::optional<std::size_t>
 ToleratedShortfall(milliseconds aSinceChange, bool aSettledBefore);
 
-/// @brief Returns the goal for a service whose demand is not known yet.
+/// @brief Number of a service's engines in each stage.
+struct StageSplit
+{
+  std::size_t prefill = 0;
+  std::size_t decode = 0;
+};
+
+/// @brief What a change of the split costs, and how long it pays.
+struct StageChangeCosts
+{
+  /// @brief Time for which the present demand is expected to last.
+  std::chrono::seconds horizon{ 30 };
+  /// @brief Price of an order beside the time in which the engine is away, in requests.
+  double requestsPerOrder = 3.0;
+};
+
+/// @brief Shares of the requests that are late because of each stage, or of the transfer between
+///        them. Above 1 if a stage is overloaded, and then the higher the more it is.
+struct StageLateShares
+{
+  double prefill = 0.0;
+  double decode = 0.0;
+  double transfer = 0.0;
+};
+
+/// @brief Estimates the shares of requests that a split makes late in a burst, by queueing theory.
 ///
-/// Batch sizes differ widely between engines. The decoding engines need spare capacity beyond the
-/// streams of all engines, since a full batch slows each token and makes long answers late.
+/// Covers any mix of prompt and output tokens: prefill is a queue in front of busy engines; decode
+/// is bounded by batch slots and cache memory; caches are fetched over one link an engine.
+/// @param aLimits  capacities of one engine; a capacity of zero is unknown and does not bind
+/// @param aSplit  at least one engine in each stage
+/// @return constant time
+StageLateShares
+TheoreticalLateShares(const StageDemand& aDemand,
+                      const EngineLimits& aLimits,
+                      const StageSplit& aSplit);
+
+/// @brief Estimates the share of requests that a split makes late, from the share at another split.
+///
+/// Queues are longer than theory says where prompts have homes, and decoding slows down as batches
+/// grow, so the measured lateness calibrates how it depends on the use of a stage.
+/// @param aCurrent  split at which the lateness was measured
+/// @param aSplit  split to estimate; both have at least one engine in each stage
+/// @return constant time
+double
+ExtrapolatedLateShare(const StageDemand& aDemand,
+                      const EngineLimits& aLimits,
+                      const StageSplit& aCurrent,
+                      const StageSplit& aSplit);
+
+/// @brief Returns the share of a service's engines that decode until its demand is known.
+///
+/// An assumption, not a measurement: some 20 open streams for each engine of the service. Engines
+/// with large batches need fewer of them. The plan by demand replaces it.
 /// @param aSlots  requests that one engine works on at the same time
+double
+InitialDecodeShare(std::uint64_t aSlots);
+
+/// @brief Chooses how many engines should decode.
+///
+/// A change is worth it if it makes fewer requests late within the horizon than it costs: the work
+/// that the changing engines do not do meanwhile, and the orders. Only measured lateness speaks for
+/// a change; a split that would leave a stage without headroom for a burst is not chosen for it.
+/// @param aCurrent  present split; ordered changes count as done
+/// @param aMinDecode  least number of decoding engines, at least one
+/// @return the split; the present one if no change pays. Linear in the number of engines
+StageSplit
+PlanStageSplit(const StageDemand& aDemand,
+               const EngineLimits& aLimits,
+               const StageSplit& aCurrent,
+               std::size_t aMinDecode,
+               const StageChangeCosts& aCosts);
+
+/// @brief Counts a service's engines by stage, in all zones; leaving ones are not counted. Linear
+/// in
+///        the number of targets.
+StageSplit
+CountStages(const FleetSnapshot& aFleet, const core::ServiceName& aService);
+
+/// @brief Counts the zones that have an engine of the service which is not leaving. Linear in the
+///        number of targets.
+std::size_t
+CountEngineZones(const FleetSnapshot& aFleet, const core::ServiceName& aService);
+
+/// @brief Returns the goal for a service's engines: by its demand, or by a given share while the
+///        demand is not known.
+/// @param aDemand  present demand; nothing before enough traffic was seen
+/// @param aInitialDecodeShare  share of the engines that decode until the demand is known; by
+///                             InitialDecodeShare() if not set
 StageGoal
-InitialStageGoal(std::uint64_t aSlots);
+ChooseStageGoal(const FleetSnapshot& aFleet,
+                const Service& aService,
+                const std::optional<StageDemand>& aDemand,
+                std::optional<double> aInitialDecodeShare,
+                const StageChangeCosts& aCosts);
 
 /// @brief Plans the changes that bring each zone's engines to the goal.
 ///
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -82,6 +82,7 @@
   bool TakeRetryIfResumable();
   void ReleaseHandle();
   void CountLateness();
+  void CountDemandOnce(const PrefillPlacement& aPlace);
   AttemptPlan DecodePlan() const;
   std::optional<Target> ChooseDecodeEngine() const;
   void RecordPrefill(const PrefillPlacement& aPlace,
@@ -95,6 +96,7 @@
   std::optional<CachedPrompt> cachedPrompt;
   EventStream events;
   TriedTargets triedDecodeEngines;
+  bool demandCounted = false;
   /// @brief Time from the request's arrival until its prompt was prefilled.
   milliseconds prefillEnded{ 0 };
 };
@@ -172,6 +174,18 @@
   this->context.demand.AddLate(this->request.service.name, share, 1.0 - share);
 }
 
+void
+Completion::CountDemandOnce(const PrefillPlacement& aPlace)
+{
+  if (!this->demandCounted) {
+    this->demandCounted = true;
+    this->context.demand.AddPrompt(this->request.service.name,
+                                   aPlace.tokens / this->context.prefill.Rate(aPlace.target.id),
+                                   this->request.route.objective - aPlace.prefillTime -
+                                     kFirstEventDelay);
+  }
+}
+
 milliseconds
 Completion::Elapsed() const
 {
@@ -232,6 +246,7 @@
     if (!place.has_value()) {
       co_return PrefillOutcome::kNoEngine;
     }
+    this->CountDemandOnce(*place);
     if (const auto retryAfter = RefusalRetryDelay(this->request.route, *place, this->Elapsed())) {
       std::string reason = "queue_too_long";
       co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), *retryAfter);
@@ -443,6 +458,8 @@
       sourceLoad.emplace(
         this->context.loads, this->cachedPrompt->engine.id, CacheTransferLoad(0.0));
     }
+    const StreamScope stream(
+      this->context, this->request.service.name, this->prompt.promptTokens, !readsPrompt);
     AttemptCall call(this->context, this->request, *engine);
     const Attempt attempt = co_await this->SendDecode(call, *engine);
     reason = "decode: " + attempt.detail;
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -117,9 +117,12 @@
 }
 
 void
-Control::UpdatePeers(const std::vector<PeerState>& aPeers)
+Control::UpdatePeers(const std::vector<PeerState>& aPeers, const DemandTable& aDemand)
 {
   const core::MonotonicTime now = this->clock.Now();
+  for (const auto& [service, totals] : aDemand) {
+    this->demand[service].Update(totals, now);
+  }
   for (const PeerState& peer : aPeers) {
     const bool sameZone = peer.zone == this->options.self.zone;
     this->configFollower.OnPeerRevision(peer.configRevision, peer.address, sameZone);
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include <plantainslip/serving/directory.hpp>
+#include <plantainslip/serving/stage_plan.hpp>
 
 #include <plantainslip/core/random.hpp>
 
@@ -46,6 +47,11 @@
   double linkMbps = 0.0;
   /// @brief Duration of the lease whose holder may send orders.
   milliseconds leaseDuration{ 3'000 };
+  /// @brief Share of a service's engines that decode until its demand is known; by the engines'
+  /// batch
+  ///        slots if not set.
+  std::optional<double> initialDecodeShare;
+  StageChangeCosts stageChangeCosts = {};
 };
 
 /// @brief Follows the store, maintains the instance's entry there, and sends orders while it holds
@@ -67,8 +73,9 @@
   /// @return OK, or error 1506 (serving.cannot_listen)
   absl::Status Start();
 
-  /// @brief Processes the states of live peers; called several times per second.
-  void UpdatePeers(const std::vector<PeerState>& aPeers);
+  /// @brief Processes the states of live peers and the demand that all instances have seen; called
+  ///        several times per second.
+  void UpdatePeers(const std::vector<PeerState>& aPeers, const DemandTable& aDemand);
 
 private:
   Task<void> MaintainEntry();
@@ -84,6 +91,7 @@
   void RecordMembershipChange();
   void RemoveFinishedOrders();
   FleetSnapshot ExpectedFleet() const;
+  bool IsSettling(const Service& aService) const;
   void StepDown(const std::string& aReason);
   bool LeaseIsSafe() const;
   void ApplyConfig(const FollowedChanges& aChanges);
@@ -91,7 +99,6 @@
   void PublishUpdate(bool aAnnounce = false);
   void RecordConfirmation(core::MonotonicTime aAt);
   bool HasHealthyWatches() const;
-  bool IsSettling(const Service& aService) const;
   PeerState OwnState() const;
 
   asio::io_context& context;
@@ -138,6 +145,10 @@
   std::map<core::TargetId, PendingOrder> pendingOrders;
   /// @brief When a target last joined or left.
   core::MonotonicTime membershipChangedAt;
+  /// @brief When stage changes by the measured demand were last ordered, by service.
+  std::map<core::ServiceName, core::MonotonicTime> replannedAt;
+  /// @brief Demand on the engines, by service.
+  std::map<core::ServiceName, DemandEstimator> demand;
   /// @brief Whether there was a period of #kSettlingTime without a membership change since the
   ///        first one.
   bool settledBefore = false;
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -34,6 +34,33 @@
   return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
+void
+LogStagePlan(const core::ServiceName& aService,
+             const StageSplit& aSplit,
+             const StageGoal& aGoal,
+             const std::optional<StageDemand>& aDemand,
+             std::size_t aChanges)
+{
+  const StageDemand demand = aDemand.value_or(StageDemand{});
+  core::Log(core::LogLevel::kInfo,
+            "orders: stages planned",
+            { { "service", aService.Text() },
+              { "changes", std::to_string(aChanges) },
+              { "prefilling", std::to_string(aSplit.prefill) },
+              { "decoding", std::to_string(aSplit.decode) },
+              { "decode_share", std::to_string(aGoal.decodeShare) },
+              { "demand", aDemand.has_value() ? "measured" : "unknown" },
+              { "prompts_per_s", std::to_string(demand.promptsPerSecond) },
+              { "busy_prefill_engines", std::to_string(demand.busyPrefillEngines) },
+              { "mean_prefill_ms", std::to_string(demand.meanPrefillMs) },
+              { "mean_slack_ms", std::to_string(demand.meanSlackMs) },
+              { "open_streams", std::to_string(demand.openStreams) },
+              { "stream_tokens", std::to_string(demand.streamTokens) },
+              { "handover_tokens_per_s", std::to_string(demand.handoverTokensPerSecond) },
+              { "prefill_late_share", std::to_string(demand.prefillLateShare) },
+              { "decode_late_share", std::to_string(demand.decodeLateShare) } });
+}
+
 } // namespace
 
 bool
@@ -169,6 +196,16 @@
   return fleet;
 }
 
+// Returns whether the measured demand does not yet show the effect of the last change.
+bool
+Control::IsSettling(const Service& aService) const
+{
+  const auto found = this->replannedAt.find(aService.name);
+  return found != this->replannedAt.end() &&
+         this->clock.Now() - found->second <
+           aService.engine->stageChangeDuration + DemandEstimator::kTimeConstant;
+}
+
 Task<void>
 Control::SendOrders()
 {
@@ -184,9 +221,19 @@
     if (!service.engine.has_value()) {
       continue;
     }
-    StageGoal goal = InitialStageGoal(service.engine->slots);
+    const std::optional<StageDemand> demandNow = this->demand[name].Current();
+    StageGoal goal = ChooseStageGoal(
+      fleet, service, demandNow, this->options.initialDecodeShare, this->options.stageChangeCosts);
     goal.toleratedShortfall = *toleratedShortfall;
-    for (const StageChange& change : PlanStages(fleet, name, goal)) {
+    goal.onlyMissingStages = goal.onlyMissingStages || this->IsSettling(service);
+    const std::vector<StageChange> changes = PlanStages(fleet, name, goal);
+    if (!changes.empty()) {
+      LogStagePlan(name, CountStages(fleet, name), goal, demandNow, changes.size());
+      if (demandNow.has_value() && !goal.onlyMissingStages) {
+        this->replannedAt[name] = this->clock.Now();
+      }
+    }
+    for (const StageChange& change : changes) {
       if (!this->LeaseIsSafe()) {
         co_return;
       }
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -110,6 +110,7 @@
             aMessage.configRevision,
             aMessage.targetsRevision };
   this->path.loads.SetPeerReport(aMessage.sender, aMessage.loads, now);
+  this->demand.SetReport(aMessage.sender, aMessage.demand);
   this->path.health.SetPeerReport(aMessage.sender, aMessage.unreachable, now);
   const FleetSnapshot& fleet = *this->path.fleet;
   const bool knowsMore = aMessage.configRevision > fleet.configRevision ||
@@ -130,7 +131,11 @@
       states.push_back(peer.state);
     }
   }
-  this->onPeers(std::move(states));
+  this->demand.SetReport(this->self.id, this->path.demand.Totals(now));
+  this->demand.RemoveUnknown([this](const core::InstanceId& aId) {
+    return aId == this->self.id || this->peers.contains(aId);
+  });
+  this->onPeers(std::move(states), this->demand.Totals());
 }
 
 Task<void>
@@ -178,6 +183,7 @@
   message.configRevision = this->path.fleet->configRevision;
   message.targetsRevision = this->path.fleet->targetsRevision;
   message.loads = this->path.loads.OwnLoads();
+  message.demand = this->path.demand.Totals(now);
   message.unreachable = this->path.health.UnreachableTargets(now);
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [id, peer] : this->peers) {
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -19,8 +19,9 @@
 class LoadExchange
 {
 public:
-  /// @brief Called several times per second with the states of all live peers.
-  using OnPeers = std::function<void(std::vector<PeerState>)>;
+  /// @brief Called several times per second with the states of all live peers and the demand that
+  ///        all instances have seen.
+  using OnPeers = std::function<void(std::vector<PeerState>, DemandTable)>;
 
   /// @brief Opens the port and starts sending and receiving.
   /// @return the exchange, or error 1506 (serving.cannot_listen)
@@ -73,6 +74,7 @@
   Udp::socket socket;
   asio::steady_timer timer;
   std::map<core::InstanceId, Peer> peers;
+  FleetDemand demand;
   std::uint64_t sequence = 0;
   LoadTable lastSent;
   /// @brief When a message was last sent to peers of all zones.
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -9,6 +9,7 @@
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/retries/retry_policy.hpp>
 #include <plantainslip/serving/placement.hpp>
+#include <plantainslip/serving/stage_demand.hpp>
 
 #include "connection_pool.hpp"
 #include "path_metrics.hpp"
@@ -67,6 +68,7 @@
   LoadTracker loads = {};
   TargetHealth health = {};
   PrefillModel prefill = {};
+  DemandMeter demand = {};
   std::map<core::ServiceName, std::unique_ptr<retries::RetryBudget>> budgets = {};
   /// @brief Latest snapshot published by the control thread; never null.
   std::shared_ptr<const FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
@@ -201,4 +203,32 @@
   TargetLoad load;
 };
 
+/// @brief Counts an open stream for the scope's lifetime.
+class StreamScope
+{
+public:
+  StreamScope(PathContext& aContext,
+              core::ServiceName aService,
+              std::uint64_t aPromptTokens,
+              bool aHandover)
+    : context(aContext)
+    , service(std::move(aService))
+    , promptTokens(aPromptTokens)
+  {
+    this->context.demand.BeginStream(
+      this->service, aPromptTokens, aHandover, this->context.clock.Now());
+  }
+  ~StreamScope()
+  {
+    this->context.demand.EndStream(this->service, this->promptTokens, this->context.clock.Now());
+  }
+  StreamScope(const StreamScope&) = delete;
+  StreamScope& operator=(const StreamScope&) = delete;
+
+private:
+  PathContext& context;
+  core::ServiceName service;
+  std::uint64_t promptTokens;
+};
+
 } // namespace plantainslip::serving
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -1,5 +1,8 @@
 #include <plantainslip/serving/peer_message.hpp>
 
+#include <algorithm>
+#include <array>
+
 #include <nlohmann/json.hpp>
 
 #include <plantainslip/serving/errors.hpp>
@@ -10,6 +13,50 @@
 
 using nlohmann::json;
 
+// Members in wire order; fractions are dropped.
+constexpr std::array kDemandMembers = { &DemandTotals::prompts,     &DemandTotals::prefillMs,
+                                        &DemandTotals::slackMs,     &DemandTotals::handoverTokens,
+                                        &DemandTotals::prefillLate, &DemandTotals::decodeLate,
+                                        &DemandTotals::streamMs,    &DemandTotals::streamTokenMs };
+
+json
+EncodeDemand(const DemandTable& aDemand)
+{
+  json services = json::array();
+  for (const auto& [service, totals] : aDemand) {
+    json entry = json::array({ service.Text() });
+    for (const auto member : kDemandMembers) {
+      entry.push_back(static_cast<std::uint64_t>(std::max(0.0, totals.*member)));
+    }
+    services.push_back(std::move(entry));
+  }
+  return services;
+}
+
+// Returns whether the value is well-formed.
+bool
+DecodeDemand(const json& aServices, DemandTable& aDemand)
+{
+  if (!aServices.is_array()) {
+    return false;
+  }
+  for (const json& entry : aServices) {
+    if (!entry.is_array() || entry.size() != kDemandMembers.size() + 1 || !entry[0].is_string()) {
+      return false;
+    }
+    DemandTotals totals;
+    for (std::size_t index = 0; index < kDemandMembers.size(); ++index) {
+      const json& value = entry[index + 1];
+      if (!value.is_number_unsigned()) {
+        return false;
+      }
+      totals.*kDemandMembers[index] = value.get<double>();
+    }
+    aDemand[core::ServiceName(entry[0].get<std::string>())] = totals;
+  }
+  return true;
+}
+
 } // namespace
 
 std::string
@@ -38,7 +85,8 @@
                                      aMessage.zone.Text(),
                                      static_cast<std::uint64_t>(aMessage.linkMbps),
                                      aMessage.confirmedAge.count(),
-                                     std::move(unreachable) });
+                                     std::move(unreachable),
+                                     EncodeDemand(aMessage.demand) });
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -49,15 +97,15 @@
 {
   const auto bad = [] { return core::MakeError(errors::kBadAnswer, "malformed peer message"); };
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  constexpr std::size_t kFields = 9;
+  PeerMessage read;
+  constexpr std::size_t kFields = 10;
   if (!message.is_array() || message.size() != kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !message[2].is_number_unsigned() ||
       !message[3].is_number_unsigned() || !message[4].is_array() || !message[5].is_string() ||
       !message[6].is_number_unsigned() || !message[7].is_number_unsigned() ||
-      !message[8].is_array()) {
+      !message[8].is_array() || !DecodeDemand(message[9], read.demand)) {
     return bad();
   }
-  PeerMessage read;
   read.sender = core::InstanceId(message[0].get<std::string>());
   read.sequence = message[1].get<std::uint64_t>();
   read.configRevision = core::Revision(message[2].get<std::uint64_t>());
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -19,8 +19,6 @@
 /// part and its price.
 constexpr double kSecondHomeMs = 60.0;
 constexpr double kNoHomeMs = 160.0;
-/// Time from the end of the prefill to the first event at the caller.
-constexpr milliseconds kFirstEventDelay{ 95 };
 /// Share of the less urgent tokens at an engine that delays a prompt: about 2 ms per 1,000 tokens,
 /// whose prefill takes about 9 ms.
 constexpr double kLowerPriorityShare = 0.2;
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -192,6 +192,8 @@
   message.linkMbps = 200.0;
   message.confirmedAge = 450ms;
   message.unreachable = { core::TargetId("u"), core::TargetId("v") };
+  message.demand[core::ServiceName("models")] = { 7.0, 250.0, 900.0,   40'000.0,
+                                                  2.0, 3.0,   1'500.0, 9e9 };
   const std::string bytes = EncodePeerMessage(message);
   const auto read = DecodePeerMessage(bytes);
   REQUIRE(read.ok());
@@ -203,6 +205,7 @@
   CHECK(read->linkMbps == 200.0);
   CHECK(read->confirmedAge == 450ms);
   CHECK(read->unreachable == message.unreachable);
+  CHECK(read->demand == message.demand);
   SUBCASE("a truncated message is an error, and a corrupted one never causes a crash")
   {
     for (std::size_t size = 0; size < bytes.size(); ++size) {
