Keep the split of the stages when the lease holder changes; learn prefill rates from a call's own part

Change: reports of peers tell whether there was traffic before; then the split stays until the demand is measured. Only the prompt's own part of a call, by tokens, enters the rate.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -183,11 +183,16 @@
     self,
     this->settings.linkMbps,
     this->path,
-    [this](std::vector<serving::PeerState> aPeers, serving::DemandTable aDemand) {
+    [this](std::vector<serving::PeerState> aPeers, const serving::FleetDemand& aDemand) {
       this->UpdateRetryBudget(aPeers.size());
-      asio::post(this->control, [this, peers = std::move(aPeers), demand = std::move(aDemand)] {
-        this->controller->UpdatePeers(peers, demand);
-      });
+      asio::post(this->control,
+                 [this,
+                  peers = std::move(aPeers),
+                  demand = aDemand.Totals(),
+                  hasTraffic = aDemand.HasTraffic()] {
+                   this->controller->UpdatePeers(peers);
+                   this->controller->UpdateDemand(demand, hasTraffic);
+                 });
     });
   if (!opened.ok()) {
     return opened.status();
--- a/include/plantainslip/serving/stage_demand.hpp
+++ b/include/plantainslip/serving/stage_demand.hpp
@@ -100,9 +100,13 @@
   /// @brief Returns the sum over all instances since the first report of each.
   const DemandTable& Totals() const { return this->sum; }
 
+  /// @brief Returns whether any instance has seen traffic, also before its first report here.
+  bool HasTraffic() const { return this->hasTraffic; }
+
 private:
   std::map<core::InstanceId, DemandTable> reports;
   DemandTable sum;
+  bool hasTraffic = false;
 };
 
 /// @brief Present demand on a service's engines.
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -117,12 +117,18 @@
 }
 
 void
-Control::UpdatePeers(const std::vector<PeerState>& aPeers, const DemandTable& aDemand)
+Control::UpdateDemand(const DemandTable& aTotals, bool aHasTraffic)
 {
-  const core::MonotonicTime now = this->clock.Now();
-  for (const auto& [service, totals] : aDemand) {
-    this->demand[service].Update(totals, now);
+  this->hasTraffic = aHasTraffic;
+  for (const auto& [service, totals] : aTotals) {
+    this->demand[service].Update(totals, this->clock.Now());
   }
+}
+
+void
+Control::UpdatePeers(const std::vector<PeerState>& aPeers)
+{
+  const core::MonotonicTime now = this->clock.Now();
   for (const PeerState& peer : aPeers) {
     const bool sameZone = peer.zone == this->options.self.zone;
     this->configFollower.OnPeerRevision(peer.configRevision, peer.address, sameZone);
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -73,9 +73,12 @@
   /// @return OK, or error 1506 (serving.cannot_listen)
   absl::Status Start();
 
-  /// @brief Processes the states of live peers and the demand that all instances have seen; called
-  ///        several times per second.
-  void UpdatePeers(const std::vector<PeerState>& aPeers, const DemandTable& aDemand);
+  /// @brief Processes the states of live peers; called several times per second.
+  void UpdatePeers(const std::vector<PeerState>& aPeers);
+
+  /// @brief Processes the demand that all instances have seen; called several times per second.
+  /// @param aHasTraffic  whether any instance has seen traffic, also before this one started
+  void UpdateDemand(const DemandTable& aTotals, bool aHasTraffic);
 
 private:
   Task<void> MaintainEntry();
@@ -149,6 +152,7 @@
   std::map<core::ServiceName, core::MonotonicTime> replannedAt;
   /// @brief Demand on the engines, by service.
   std::map<core::ServiceName, DemandEstimator> demand;
+  bool hasTraffic = false;
   /// @brief Whether there was a period of #kSettlingTime without a membership change since the
   ///        first one.
   bool settledBefore = false;
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -225,7 +225,10 @@
     StageGoal goal = ChooseStageGoal(
       fleet, service, demandNow, this->options.initialDecodeShare, this->options.stageChangeCosts);
     goal.toleratedShortfall = *toleratedShortfall;
-    goal.onlyMissingStages = goal.onlyMissingStages || this->IsSettling(service);
+    // An instance that has just started does not know the demand that the present split follows.
+    const bool isDemandUnmeasured = this->hasTraffic && !demandNow.has_value();
+    goal.onlyMissingStages =
+      goal.onlyMissingStages || isDemandUnmeasured || this->IsSettling(service);
     const std::vector<StageChange> changes = PlanStages(fleet, name, goal);
     if (!changes.empty()) {
       LogStagePlan(name, CountStages(fleet, name), goal, demandNow, changes.size());
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -135,7 +135,7 @@
   this->demand.RemoveUnknown([this](const core::InstanceId& aId) {
     return aId == this->self.id || this->peers.contains(aId);
   });
-  this->onPeers(std::move(states), this->demand.Totals());
+  this->onPeers(std::move(states), this->demand);
 }
 
 Task<void>
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -21,7 +21,7 @@
 public:
   /// @brief Called several times per second with the states of all live peers and the demand that
   ///        all instances have seen.
-  using OnPeers = std::function<void(std::vector<PeerState>, DemandTable)>;
+  using OnPeers = std::function<void(std::vector<PeerState>, const FleetDemand&)>;
 
   /// @brief Opens the port and starts sending and receiving.
   /// @return the exchange, or error 1506 (serving.cannot_listen)
--- a/src/serving/prefill_model.cpp
+++ b/src/serving/prefill_model.cpp
@@ -38,11 +38,12 @@
     this->means.try_emplace(aTarget, Means{ kInitialTokens, kInitialTokens / kInitialRate }).first;
   Means& mean = entry->second;
   const double prefillMs = std::max(1.0, static_cast<double>((aTook - kCallOverhead).count()));
+  // The prompt's own part of the call; its weight falls with the queue, whose length is uncertain.
   const double allTokens = aQueuedTokens + aTokens;
   const double ownShare = allTokens > 0.0 ? aTokens / allTokens : 1.0;
   const double weight = kSmoothingFactor * ownShare * ownShare;
-  mean.tokens += weight * (allTokens - mean.tokens);
-  mean.milliseconds += weight * (prefillMs - mean.milliseconds);
+  mean.tokens += weight * (aTokens - mean.tokens);
+  mean.milliseconds += weight * (prefillMs * ownShare - mean.milliseconds);
 }
 
 std::size_t
--- a/src/serving/stage_demand.cpp
+++ b/src/serving/stage_demand.cpp
@@ -97,6 +97,9 @@
 void
 FleetDemand::SetReport(const core::InstanceId& aInstance, const DemandTable& aTotals)
 {
+  for (const auto& [service, totals] : aTotals) {
+    this->hasTraffic = this->hasTraffic || totals.prompts > 0.0;
+  }
   const auto [found, isNew] = this->reports.try_emplace(aInstance, aTotals);
   if (isNew) {
     return;
--- a/tests/src/unit-stage-planner.cpp
+++ b/tests/src/unit-stage-planner.cpp
@@ -225,6 +225,13 @@
     fleet.SetReport(kTwo, two);
     CHECK(fleet.Totals().at(kModels).prompts == 16.0);
   }
+  SUBCASE("and an instance that has just started knows of traffic before its start")
+  {
+    CHECK(fleet.HasTraffic());
+    FleetDemand idle;
+    idle.SetReport(kOne, { { kModels, DemandTotals{} } });
+    CHECK_FALSE(idle.HasTraffic());
+  }
   SUBCASE("and an instance that was restarted counts from zero again")
   {
     one[kModels] = Counted(3.0);
