--- a/apps/gateway/gateway.hpp
+++ b/apps/gateway/gateway.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <optional>
+
 #include <absl/status/status.h>
+
 #include <plantainslip/serving/stage_plan.hpp>
 
 #include "settings.hpp"
@@ -10,9 +13,8 @@
 /// @brief Settings of the project's own, given on the command line.
 struct GatewayOptions
 {
-  /// @brief Share of a service's engines that decode until its demand is known; by the engines'
-  /// batch
-  ///        slots if not set.
+  /// @brief Share of a service's engines that decode until its demand is known; by the batch slots
+  ///        if not set.
   std::optional<double> initialDecodeShare;
   serving::StageChangeCosts stageChangeCosts = {};
 };
--- a/include/plantainslip/serving/stage_demand.hpp
+++ b/include/plantainslip/serving/stage_demand.hpp
@@ -137,9 +137,9 @@
   static constexpr milliseconds kTimeConstant{ 4'000 };
   /// @brief Min time between two readings.
   static constexpr milliseconds kMinInterval{ 250 };
-  /// @brief Traffic that must have been seen before there is an estimate: until then caches are
+  /// @brief Traffic that must have been seen before there is an estimate: at first, caches are
   /// empty
-  ///        and the first streams have not ended.
+  ///        and no stream has ended.
   static constexpr milliseconds kMinObservation{ 6'000 };
 
   /// @brief Updates the estimate; readings that follow too closely are ignored. Constant time.
--- a/include/plantainslip/serving/stage_plan.hpp
+++ b/include/plantainslip/serving/stage_plan.hpp
@@ -114,9 +114,8 @@
                std::size_t aMinDecode,
                const StageChangeCosts& aCosts);
 
-/// @brief Counts a service's engines by stage, in all zones; leaving ones are not counted. Linear
-/// in
-///        the number of targets.
+/// @brief Counts a service's engines by stage, in all zones, without leaving ones. Linear in the
+///        number of targets.
 StageSplit
 CountStages(const FleetSnapshot& aFleet, const core::ServiceName& aService);
 
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -47,9 +47,8 @@
   double linkMbps = 0.0;
   /// @brief Duration of the lease whose holder may send orders.
   milliseconds leaseDuration{ 3'000 };
-  /// @brief Share of a service's engines that decode until its demand is known; by the engines'
-  /// batch
-  ///        slots if not set.
+  /// @brief Share of a service's engines that decode until its demand is known; by the batch slots
+  ///        if not set.
   std::optional<double> initialDecodeShare;
   StageChangeCosts stageChangeCosts = {};
 };
--- a/tests/src/process-settings.cpp
+++ b/tests/src/process-settings.cpp
@@ -61,6 +61,18 @@
 
 } // namespace
 
+TEST_CASE("the gateway checks its flags before it reads the platform's settings")
+{
+  const auto run = [](const Flags& aFlags) {
+    return harness::RunProgram("apps/plantainslip-gateway", aFlags);
+  };
+  CheckNamed(run({ "--initial-decode-share", "1" }), "--initial-decode-share", "0.99");
+  CheckNamed(run({ "--demand-horizon-s", "0" }), "--demand-horizon-s", "3600");
+  CheckNamed(run({ "--requests-per-order", "-1" }), "--requests-per-order", "10000");
+  const EnvironmentValue fromEnvironment("PLANTAINSLIP_DEMAND_HORIZON_S", "4000");
+  CheckNamed(run({}), "--demand-horizon-s", "4000");
+}
+
 TEST_CASE("a wrong setting is named with its value and range before a port is opened")
 {
   CheckNamed(RunWith(kEntry, { "--threads", "0" }), "--threads", "1 to 4096");
