--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -17,9 +17,8 @@
 /// @brief One connection to a target or to the store.
 struct OutgoingConnection
 {
-  /// @brief Max size of a response head, a chunk header or the trailers, and of the bytes read
-  /// ahead
-  ///        with them; a peer that sends more without an end is cut off.
+  /// @brief Max size of a response head, a chunk header or the trailers, with the bytes read ahead;
+  ///        a peer that sends more without an end is cut off.
   static constexpr std::size_t kMaxBufferedBytes = 131'072;
 
   explicit OutgoingConnection(const asio::any_io_executor& aExecutor)
