Tell the end of a target's process from a lost connection, and log prompt parts and targets tried

What callers saw: 502 or a broken stream. The log had no way to say what the requests at a lost engine had in common, whether its process had ended, and where else they had been sent.

An attempt that gets nothing but a lost connection is now followed by one connection attempt to the target; refused means that the process has ended. No decision uses it yet.

--- a/include/plantainslip/serving/target_protocol.hpp
+++ b/include/plantainslip/serving/target_protocol.hpp
@@ -46,6 +46,10 @@
   std::vector<PromptPart> parts;
 };
 
+/// @brief Formats the ids of a prompt's parts for the log, in order; empty without a prompt.
+std::string
+FormatParts(const std::optional<PromptInfo>& aPrompt);
+
 /// @brief Fields of a caller's request that the request path uses.
 struct RequestInfo
 {
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -4,6 +4,7 @@
 #include <plantainslip/serving/errors.hpp>
 
 #include "http_head.hpp"
+#include "spawn.hpp"
 
 namespace plantainslip::serving {
 
@@ -23,6 +24,45 @@
 constexpr int kFirstServerError = 500;
 constexpr int kMisdirected = 421;
 
+std::string_view
+StepName(AttemptStep aStep)
+{
+  switch (aStep) {
+    case AttemptStep::kPrefill:
+      return "prefill";
+    case AttemptStep::kDecode:
+      return "decode";
+    case AttemptStep::kWhole:
+      break;
+  }
+  return "whole";
+}
+
+/// @brief An attempt whose connection was lost before any part of the body was received.
+struct LostAttempt
+{
+  Target target;
+  AttemptStep step = AttemptStep::kWhole;
+  core::RequestId request;
+  std::string parts;
+};
+
+// Tells the end of a target's process from the loss of one connection.
+Task<void>
+CheckTarget(PathContext& aContext, LostAttempt aLost)
+{
+  const bool ended = co_await aContext.pool.IsConnectionRefused(aLost.target.address);
+  const std::string service = aLost.target.service.Text();
+  aContext.metrics.Count(ended ? "targets_ended_total" : "connections_lost_total", service);
+  core::Log(core::LogLevel::kWarning,
+            ended ? "target ended during a request" : "connection lost during a request",
+            { { "target", aLost.target.id.Text() },
+              { "service", service },
+              { "step", std::string(StepName(aLost.step)) },
+              { "request", aLost.request.Text() },
+              { "parts", aLost.parts } });
+}
+
 } // namespace
 
 bool
@@ -108,6 +148,32 @@
                                                        : AttemptState::kUnknown;
 }
 
+// Checks the target if the attempt got nothing but a lost connection: the request may have ended
+// the target's process.
+void
+AttemptCall::CheckTargetAfter(const absl::Status& aFailure)
+{
+  if (this->hasBody || !core::IsError(aFailure, errors::kConnectionLost)) {
+    return;
+  }
+  LostAttempt lost{
+    this->target, this->step, this->request.info.id, FormatParts(this->request.info.prompt)
+  };
+  Spawn(this->context.executor, "check target", [&context = this->context, lost] {
+    return CheckTarget(context, lost);
+  });
+}
+
+Task<absl::StatusOr<bool>>
+AttemptCall::ReadSome(std::string& aBody)
+{
+  const std::size_t sizeBefore = aBody.size();
+  absl::StatusOr<bool> more = co_await this->call->ReadSome(aBody);
+  this->hasBody = this->hasBody || aBody.size() > sizeBefore;
+  this->CheckTargetAfter(more.status());
+  co_return more;
+}
+
 milliseconds
 AttemptCall::MaxIdle(AttemptStep aStep) const
 {
@@ -148,6 +214,7 @@
                                             this->request.info.id.Text(),
                                             this->context.protocol.RequestIdHeader(),
                                             this->cancellation);
+  this->step = aPlan.step;
   const bool runsRequest = aPlan.step != AttemptStep::kPrefill;
   const bool ranBefore = this->request.mayHaveRun;
   this->request.mayHaveRun = ranBefore || runsRequest;
@@ -162,6 +229,7 @@
   if (!head.ok()) {
     attempt.state = this->ClassifyFailure(sent.ok() ? head.status() : sent);
     attempt.detail = std::string(head.status().message());
+    this->CheckTargetAfter(head.status());
     co_return attempt;
   }
   attempt.info = this->context.protocol.ReadResponse(head->status, head->headers);
@@ -201,7 +269,9 @@
 Task<absl::StatusOr<std::string>>
 AttemptCall::ReadAll()
 {
-  return this->call->ReadAll(kMaxBufferedBodyBytes);
+  auto body = co_await this->call->ReadAll(kMaxBufferedBodyBytes);
+  this->CheckTargetAfter(body.status());
+  co_return body;
 }
 
 } // namespace plantainslip::serving
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -55,7 +55,7 @@
   Task<std::string> ReadRemainingBody(Attempt& aAttempt);
 
   /// @brief Reads the next part of the body; only after kAnswered. See TargetCall::ReadSome().
-  Task<absl::StatusOr<bool>> ReadSome(std::string& aBody) { return this->call->ReadSome(aBody); }
+  Task<absl::StatusOr<bool>> ReadSome(std::string& aBody);
 
   /// @brief Removes the timeout, so that only the caller's deadline limits the body.
   void ClearTimeLimit() { this->limit.reset(); }
@@ -68,6 +68,7 @@
   milliseconds MaxIdle(AttemptStep aStep) const;
   Task<absl::StatusOr<std::string>> ReadAll();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
+  void CheckTargetAfter(const absl::Status& aFailure);
 
   PathContext& context;
   PathRequest& request;
@@ -77,6 +78,9 @@
   std::unique_ptr<Cancellation::Scope> requestCancelScope;
   std::unique_ptr<TimeLimit> limit;
   std::unique_ptr<TargetCall> call;
+  AttemptStep step = AttemptStep::kWhole;
+  /// @brief Whether a part of the body was received.
+  bool hasBody = false;
 };
 
 /// @brief Converts an attempt's outcome to a result for the target's health record.
--- a/src/serving/connection_pool.cpp
+++ b/src/serving/connection_pool.cpp
@@ -59,36 +59,60 @@
   return nullptr;
 }
 
-Task<absl::StatusOr<std::unique_ptr<OutgoingConnection>>>
-ConnectionPool::Acquire(net::Address aAddress,
-                        std::chrono::milliseconds aMaxIdle,
-                        Cancellation& aCancellation)
+Task<ConnectionPool::ConnectResult>
+ConnectionPool::Connect(const net::Address& aAddress, Cancellation& aCancellation)
 {
-  if (auto connection = this->AcquireIdle(aAddress, aMaxIdle)) {
-    co_return connection;
-  }
+  ConnectResult result;
   auto connection = std::make_unique<OutgoingConnection>(this->executor);
   Tcp::socket& socket = connection->socket;
-  ErrorCode error;
-  const Tcp::endpoint endpoint(asio::ip::make_address_v4(aAddress.host, error), aAddress.port);
+  const Tcp::endpoint endpoint(asio::ip::make_address_v4(aAddress.host, result.error),
+                               aAddress.port);
   const auto close = [&socket] {
     ErrorCode ignored;
     socket.close(ignored);
   };
   const Cancellation::Scope scope(aCancellation, close);
   const TimeLimit limit(this->executor, this->options.connectTimeout, close);
-  if (!error && !aCancellation.Reason().has_value()) {
-    co_await socket.async_connect(endpoint, RedirectError(error));
+  if (!result.error && !aCancellation.Reason().has_value()) {
+    co_await socket.async_connect(endpoint, RedirectError(result.error));
+  }
+  result.timedOut = limit.Expired();
+  if (!result.error && !result.timedOut && !aCancellation.Reason().has_value()) {
+    SetSocketOptions(socket, this->options.unacknowledgedTimeout);
+    result.connection = std::move(connection);
+  }
+  co_return result;
+}
+
+Task<absl::StatusOr<std::unique_ptr<OutgoingConnection>>>
+ConnectionPool::Acquire(net::Address aAddress,
+                        std::chrono::milliseconds aMaxIdle,
+                        Cancellation& aCancellation)
+{
+  if (auto connection = this->AcquireIdle(aAddress, aMaxIdle)) {
+    co_return connection;
+  }
+  ConnectResult connected = co_await this->Connect(aAddress, aCancellation);
+  if (connected.connection != nullptr) {
+    co_return std::move(connected.connection);
   }
   if (aCancellation.Reason().has_value()) {
     co_return core::MakeError(errors::kCancelled, aAddress.Text());
   }
-  if (error || limit.Expired()) {
-    const std::string reason = limit.Expired() ? "no answer in time" : error.message();
-    co_return core::MakeError(errors::kNotConnected, aAddress.Text() + ": " + reason);
+  const std::string reason = connected.timedOut ? "no answer in time" : connected.error.message();
+  co_return core::MakeError(errors::kNotConnected, aAddress.Text() + ": " + reason);
+}
+
+Task<bool>
+ConnectionPool::IsConnectionRefused(net::Address aAddress)
+{
+  Cancellation none;
+  ConnectResult connected = co_await this->Connect(aAddress, none);
+  if (connected.connection != nullptr) {
+    this->Release(aAddress, std::move(connected.connection), std::chrono::milliseconds(0));
+    co_return false;
   }
-  SetSocketOptions(socket, this->options.unacknowledgedTimeout);
-  co_return connection;
+  co_return !connected.timedOut && connected.error == asio::error::connection_refused;
 }
 
 void
--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -69,6 +69,10 @@
                std::unique_ptr<OutgoingConnection> aConnection,
                std::chrono::milliseconds aLifetime);
 
+  /// @brief Tries to connect to an address, to find out whether a process still listens there.
+  /// @return true if the connection was refused; a new connection is kept for reuse
+  Task<bool> IsConnectionRefused(net::Address aAddress);
+
   /// @brief Closes all idle connections to an address; after a failed call they may be dead too.
   void CloseIdle(const net::Address& aAddress) { this->idle.erase(aAddress); }
 
@@ -80,8 +84,18 @@
     core::MonotonicTime expiresAt;
   };
 
+  /// @brief Result of an attempt to connect.
+  struct ConnectResult
+  {
+    /// @brief Absent if connecting failed.
+    std::unique_ptr<OutgoingConnection> connection;
+    ErrorCode error;
+    bool timedOut = false;
+  };
+
   std::unique_ptr<OutgoingConnection> AcquireIdle(const net::Address& aAddress,
                                                   std::chrono::milliseconds aMaxIdle);
+  Task<ConnectResult> Connect(const net::Address& aAddress, Cancellation& aCancellation);
 
   asio::any_io_executor executor;
   PoolOptions options;
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
 
 #include <plantainslip/core/log.hpp>
@@ -66,6 +67,14 @@
   return ChoosePlain(aContext.View(), aRequest.service.name, tried).has_value();
 }
 
+std::string
+FormatTargets(const TriedTargets& aTargets)
+{
+  return absl::StrJoin(aTargets, ",", [](std::string* aText, const core::TargetId& aTarget) {
+    aText->append(aTarget.Text());
+  });
+}
+
 Task<void>
 ForwardResponse(PathContext& aContext, PathRequest& aRequest, Attempt& aAttempt, std::string aBody)
 {
@@ -97,6 +106,8 @@
       { "reason", aReason },
       { "attempts", std::to_string(aRequest.attempts) },
       { "target", aRequest.sentTo.empty() ? "" : aRequest.sentTo.back().Text() },
+      { "tried", FormatTargets(aRequest.sentTo) },
+      { "parts", FormatParts(aRequest.info.prompt) },
       { "took_ms", std::to_string(duration.count()) },
       { "prefill_engine", aRequest.prefillEngine.Text() },
       { "priority", std::to_string(aRequest.prefillPriority) },
