Close inherited descriptors in the processes that tests start

A fake's listening socket was inherited by every process started after it, so a fake that had closed it still accepted connections there, and a request to an ended engine hung until its deadline instead of being refused. Found while reproducing the crash of an engine: 504 after 5 s, no second crash.

--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -46,6 +46,8 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
   posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+  // An inherited listening socket of a fake would accept connections after the fake has closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const std::string path = std::string(PLANTAINSLIP_BINARY_FOLDER) + "/" + aProgram;
   std::vector<std::string> texts = aArguments;
   texts.insert(texts.begin(), path);
