--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -57,6 +57,46 @@
   this->behaviors.assign(aBehaviors.begin(), aBehaviors.end());
 }
 
+void
+WireTarget::SetFatalPart(std::string aPart)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->fatalPart = std::move(aPart);
+}
+
+bool
+WireTarget::HasEnded() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->ended;
+}
+
+bool
+WireTarget::IsFatal(const CallerRequest& aRequest) const
+{
+  const std::scoped_lock lock(this->mutex);
+  const bool prefill = HeaderOrEmpty(aRequest, "X-Serving-Stage") == "prefill";
+  const std::string parts = "," + HeaderOrEmpty(aRequest, "X-Prompt-Prefix");
+  return !this->fatalPart.empty() && !prefill &&
+         parts.find("," + this->fatalPart + ":") != std::string::npos;
+}
+
+// Ends like a process that crashes after the head of its response.
+Task<void>
+WireTarget::End(const CallerRequest& aRequest, AnswerWriter& aWriter)
+{
+  HeaderList headers;
+  headers.push_back({ "X-Request-Id", HeaderOrEmpty(aRequest, "X-Request-Id") });
+  headers.push_back({ "X-Response-Seal", "seal-" + this->id });
+  headers.push_back({ "Content-Type", "text/event-stream" });
+  co_await aWriter.BeginStream(200, std::move(headers));
+  {
+    const std::scoped_lock lock(this->mutex);
+    this->ended = true;
+  }
+  this->Close();
+}
+
 void
 WireTarget::Release()
 {
@@ -172,6 +212,10 @@
     co_return;
   }
   const TargetBehavior act = this->RecordRequest(aRequest);
+  if (this->IsFatal(aRequest)) {
+    co_await this->End(aRequest, aWriter);
+    co_return;
+  }
   const auto canContinue = [&] {
     const std::scoped_lock lock(this->mutex);
     return this->released || aCancellation.Reason().has_value();
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -58,6 +58,13 @@
   /// @brief Sets how the next requests are handled, one entry each; later ones get kAnswer.
   void SetBehaviors(std::vector<TargetBehavior> aBehaviors);
 
+  /// @brief Sets a prompt part that ends the target when it begins to answer a request with it:
+  ///        all connections end, and new ones are refused.
+  void SetFatalPart(std::string aPart);
+
+  /// @brief Returns whether a request has ended the target.
+  bool HasEnded() const;
+
   /// @brief Lets held requests continue.
   void Release();
 
@@ -80,6 +87,8 @@
   serving::Task<bool> ServeControl(const serving::CallerRequest& aRequest,
                                    serving::AnswerWriter& aWriter);
   TargetBehavior RecordRequest(const serving::CallerRequest& aRequest);
+  bool IsFatal(const serving::CallerRequest& aRequest) const;
+  serving::Task<void> End(const serving::CallerRequest& aRequest, serving::AnswerWriter& aWriter);
 
   std::string id;
   mutable std::mutex mutex;
@@ -88,6 +97,8 @@
   std::vector<std::string> orders;
   std::size_t abandoned = 0;
   bool released = false;
+  std::string fatalPart;
+  bool ended = false;
   core::SystemClock clock;
   std::unique_ptr<serving::HttpListener> listener;
 };
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -298,7 +298,18 @@
                 const std::string& aHeaders,
                 const std::string& aBody) const
 {
-  const RawConnection connection(this->callers);
+  return this->CallAt(this->callers, aMethod, aPath, aId, aHeaders, aBody);
+}
+
+CallerAnswer
+WireFleet::CallAt(const net::Address& aCallers,
+                  const std::string& aMethod,
+                  const std::string& aPath,
+                  const std::string& aId,
+                  const std::string& aHeaders,
+                  const std::string& aBody) const
+{
+  const RawConnection connection(aCallers);
   std::string request = aMethod + " " + aPath + " HTTP/1.1\r\nHost: h.example\r\n";
   request += "X-Request-Id: " + aId + "\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n" + aHeaders;
   if (!aBody.empty()) {
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -81,13 +81,22 @@
   /// @brief Returns an instance by the order in which they were started.
   ChildProcess& Gateway(std::size_t aIndex) { return *this->gateways.at(aIndex); }
 
-  /// @brief Sends a request and reads the response until the connection ends.
+  /// @brief Sends a request to the last started instance and reads the response until the
+  ///        connection ends.
   CallerAnswer Call(const std::string& aMethod,
                     const std::string& aPath,
                     const std::string& aId,
                     const std::string& aHeaders = "",
                     const std::string& aBody = "") const;
 
+  /// @brief Sends a request to an instance, by its address for callers; see Call().
+  CallerAnswer CallAt(const net::Address& aCallers,
+                      const std::string& aMethod,
+                      const std::string& aPath,
+                      const std::string& aId,
+                      const std::string& aHeaders = "",
+                      const std::string& aBody = "") const;
+
   /// @brief Returns the header fields of a completion with a prompt of two parts.
   static std::string CompletionHeaders();
 
