--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -1,6 +1,7 @@
 #include "wire_fleet.hpp"
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <optional>
 #include <stdexcept>
@@ -254,7 +255,8 @@
     { "bounds",
       { { "graceS", 8 }, { "leaseMs", 3'000 }, { "budgetRatio", 0.2 }, { "budgetSlack", 58 } } }
   };
-  this->settingsPath = "wire-fleet-" + std::to_string(::getpid()) + ".json";
+  const std::string file = "wire-fleet-" + std::to_string(::getpid()) + ".json";
+  this->settingsPath = (std::filesystem::temp_directory_path() / file).string();
   std::ofstream(this->settingsPath) << settings.dump();
   ::setenv("PLANTAINSLIP_SETTINGS", this->settingsPath.c_str(), 1);
   this->gateways.push_back(
