Read what targets state about themselves in their responses, and log requests that they do not want

What callers saw: failures once targets had ended that had said before that they were leaving. The log had no way to say what a target had announced, what the directory said of it then, and whether requests were sent to it after.

The announcement and the pause that a refusing target asks for are read from every response, also to the release of a handle. No decision uses them yet.

--- /dev/null
+++ b/include/plantainslip/serving/target_notices.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <plantainslip/serving/fleet.hpp>
+
+namespace plantainslip::serving {
+
+/// @brief One process of a target. A target may start again under the same id.
+struct TargetProcess
+{
+  core::TargetId id;
+  /// @brief Start of the process in Unix milliseconds; zero if unknown.
+  std::uint64_t startedAt = 0;
+
+  auto operator<=>(const TargetProcess&) const = default;
+};
+
+/// @brief Returns the process that a directory entry describes.
+inline TargetProcess
+ProcessOf(const Target& aTarget)
+{
+  return { aTarget.id, aTarget.startedAt };
+}
+
+/// @brief Remembers what targets state about themselves in their responses.
+///
+/// A leaving target may be unable to tell the store, and the store unable to tell this instance, so
+/// the directory may list it as usable until it ends. A notice holds for one process of a target.
+/// Not thread-safe.
+class TargetNotices
+{
+public:
+  /// @brief Maximum number of leaving processes that are remembered; the oldest are dropped.
+  static constexpr std::size_t kMaxLeaving = 4'096;
+
+  /// @brief Records that a process states that it is leaving. Logarithmic in their number.
+  /// @return true if that was not known
+  bool RecordLeaving(const TargetProcess& aProcess, core::MonotonicTime aNow);
+
+  /// @brief Returns when a process was first known to be leaving, if it is.
+  std::optional<core::MonotonicTime> LeavingSince(const TargetProcess& aProcess) const;
+
+private:
+  std::map<TargetProcess, core::MonotonicTime> leaving;
+};
+
+} // namespace plantainslip::serving
--- a/include/plantainslip/serving/target_protocol.hpp
+++ b/include/plantainslip/serving/target_protocol.hpp
@@ -95,6 +95,10 @@
   bool notRun = false;
   /// @brief The response carries the target's signature.
   bool hasSignature = false;
+  /// @brief The target states that it is leaving and must get no new work.
+  bool leaving = false;
+  /// @brief How long a target that refuses the request wants no more from this instance.
+  std::optional<milliseconds> retryAfter;
 };
 
 /// @brief Result of a prefill.
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -63,8 +63,54 @@
               { "parts", aLost.parts } });
 }
 
+std::string
+FormatMilliseconds(core::MonotonicTime aFrom, core::MonotonicTime aTo)
+{
+  return std::to_string(std::chrono::duration_cast<milliseconds>(aTo - aFrom).count());
+}
+
+// Logs a request that is sent although the target has said that it wants none.
+void
+LogUnwantedRequest(PathContext& aContext, const Target& aTarget, AttemptStep aStep)
+{
+  const core::MonotonicTime now = aContext.clock.Now();
+  if (const auto since = aContext.notices.LeavingSince(ProcessOf(aTarget))) {
+    aContext.metrics.Count("sent_to_leaving_total", aTarget.service.Text());
+    core::Log(core::LogLevel::kWarning,
+              "request sent to a leaving target",
+              { { "target", aTarget.id.Text() },
+                { "step", std::string(StepName(aStep)) },
+                { "announced_ms_ago", FormatMilliseconds(*since, now) } });
+  }
+}
+
 } // namespace
 
+void
+RecordNotices(PathContext& aContext, const Target& aTarget, const ResponseInfo& aInfo)
+{
+  const core::MonotonicTime now = aContext.clock.Now();
+  if (aInfo.leaving && aContext.notices.RecordLeaving(ProcessOf(aTarget), now)) {
+    const auto listed = aContext.fleet->targets.find(aTarget.id);
+    const bool isListed = listed != aContext.fleet->targets.end();
+    aContext.metrics.Count("leaving_targets_total", aTarget.service.Text());
+    core::Log(
+      core::LogLevel::kInfo,
+      "target states that it is leaving",
+      { { "target", aTarget.id.Text() },
+        { "service", aTarget.service.Text() },
+        { "directory", !isListed ? "absent" : (listed->second.leaving ? "leaving" : "ready") } });
+  }
+  if (aInfo.retryAfter.has_value()) {
+    aContext.metrics.Count("target_pauses_total", aTarget.service.Text());
+    core::Log(core::LogLevel::kInfo,
+              "target wants no requests for a time",
+              { { "target", aTarget.id.Text() },
+                { "service", aTarget.service.Text() },
+                { "duration_ms", std::to_string(aInfo.retryAfter->count()) } });
+  }
+}
+
 bool
 IsNotRunStatus(int aStatus)
 {
@@ -220,6 +266,7 @@
   this->request.mayHaveRun = ranBefore || runsRequest;
   ++this->request.attempts;
   this->request.sentTo.push_back(this->target.id);
+  LogUnwantedRequest(this->context, this->target, aPlan.step);
   std::string requestHead = this->RequestHead(aPlan);
   const absl::Status sent =
     co_await this->call->Send(std::move(requestHead), this->request.caller.body);
@@ -233,6 +280,7 @@
     co_return attempt;
   }
   attempt.info = this->context.protocol.ReadResponse(head->status, head->headers);
+  RecordNotices(this->context, this->target, attempt.info);
   attempt.head = std::move(*head);
   attempt.state = AttemptState::kAnswered;
   const int status = attempt.head.status;
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -88,6 +88,10 @@
 std::optional<AttemptResult>
 ToAttemptResult(const Attempt& aAttempt);
 
+/// @brief Records what a target states about itself in a response.
+void
+RecordNotices(PathContext& aContext, const Target& aTarget, const ResponseInfo& aInfo);
+
 /// @brief Returns the header fields of a response that are forwarded to the caller.
 HeaderList
 ForwardedResponseHeaders(const HeaderList& aHeaders);
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -102,16 +102,20 @@
 };
 
 Task<void>
-DeleteHandle(PathContext& aContext, net::Address aAddress, std::string aPath)
+DeleteHandle(PathContext& aContext, Target aEngine, std::string aPath)
 {
-  SimpleRequest request{ aAddress, "DELETE", std::move(aPath), {}, "", kReleaseTimeout, true };
+  SimpleRequest request{
+    aEngine.address, "DELETE", std::move(aPath), {}, "", kReleaseTimeout, true
+  };
   const auto answer = co_await SendSimpleRequest(aContext.pool, std::move(request));
   if (!answer.ok()) {
-    core::Log(
-      core::LogLevel::kWarning,
-      "handle not released; it expires by itself",
-      { { "target", aAddress.Text() }, { "error", std::string(answer.status().message()) } });
+    core::Log(core::LogLevel::kWarning,
+              "handle not released; it expires by itself",
+              { { "target", aEngine.address.Text() },
+                { "error", std::string(answer.status().message()) } });
+    co_return;
   }
+  RecordNotices(aContext, aEngine, aContext.protocol.ReadResponse(answer->status, answer->headers));
 }
 
 void
@@ -121,9 +125,9 @@
     Spawn(this->context.executor,
           "release handle",
           [&context = this->context,
-           address = this->cachedPrompt->engine.address,
+           engine = this->cachedPrompt->engine,
            path = this->context.protocol.HandlePath(this->cachedPrompt->handle)] {
-            return DeleteHandle(context, address, path);
+            return DeleteHandle(context, engine, path);
           });
   }
   this->cachedPrompt.reset();
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -10,6 +10,7 @@
 #include <plantainslip/retries/retry_policy.hpp>
 #include <plantainslip/serving/placement.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
+#include <plantainslip/serving/target_notices.hpp>
 
 #include "connection_pool.hpp"
 #include "path_metrics.hpp"
@@ -67,6 +68,7 @@
   retries::RetryOptions retryOptions = {};
   LoadTracker loads = {};
   TargetHealth health = {};
+  TargetNotices notices = {};
   PrefillModel prefill = {};
   DemandMeter demand = {};
   std::map<core::ServiceName, std::unique_ptr<retries::RetryBudget>> budgets = {};
--- a/src/serving/simple_call.cpp
+++ b/src/serving/simple_call.cpp
@@ -51,7 +51,8 @@
     co_return Exchange{ body.status(), reused };
   }
   call.ReturnToPool(aPool, aRequest.address);
-  co_return Exchange{ SimpleAnswer{ head->status, std::move(*body) }, reused };
+  SimpleAnswer answer{ head->status, std::move(*body), head->headers };
+  co_return Exchange{ std::move(answer), reused };
 }
 
 } // namespace
--- a/src/serving/simple_call.hpp
+++ b/src/serving/simple_call.hpp
@@ -23,6 +23,7 @@
 {
   int status = 0;
   std::string body;
+  HeaderList headers;
 };
 
 /// @brief Sends a small request and reads its response.
--- /dev/null
+++ b/src/serving/target_notices.cpp
@@ -0,0 +1,30 @@
+#include <plantainslip/serving/target_notices.hpp>
+
+#include <algorithm>
+
+namespace plantainslip::serving {
+
+bool
+TargetNotices::RecordLeaving(const TargetProcess& aProcess, core::MonotonicTime aNow)
+{
+  if (!this->leaving.try_emplace(aProcess, aNow).second) {
+    return false;
+  }
+  if (this->leaving.size() > kMaxLeaving) {
+    this->leaving.erase(std::min_element(
+      this->leaving.begin(), this->leaving.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second < aRight.second;
+      }));
+  }
+  return true;
+}
+
+std::optional<core::MonotonicTime>
+TargetNotices::LeavingSince(const TargetProcess& aProcess) const
+{
+  const auto found = this->leaving.find(aProcess);
+  return found == this->leaving.end() ? std::nullopt
+                                      : std::optional<core::MonotonicTime>(found->second);
+}
+
+} // namespace plantainslip::serving
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -5,6 +5,7 @@
 #include <plantainslip/serving/directory.hpp>
 #include <plantainslip/serving/event_stream.hpp>
 #include <plantainslip/serving/peer_message.hpp>
+#include <plantainslip/serving/target_notices.hpp>
 
 using namespace plantainslip;          // NOLINT(google-build-using-namespace)
 using namespace plantainslip::serving; // NOLINT(google-build-using-namespace)
@@ -284,3 +285,25 @@
     CHECK(book.OwnLoads().empty());
   }
 }
+
+TEST_CASE("a target's notices hold for one process")
+{
+  TargetNotices notices;
+  const core::MonotonicTime now = core::MonotonicTime{} + 1s;
+  const TargetProcess process{ core::TargetId("t"), 100 };
+  CHECK(notices.RecordLeaving(process, now));
+  CHECK_FALSE(notices.RecordLeaving(process, now + 1s));
+  CHECK(notices.LeavingSince(process) == now);
+  SUBCASE("a later process with the same id is not leaving")
+  {
+    CHECK_FALSE(notices.LeavingSince({ process.id, 101 }).has_value());
+  }
+  SUBCASE("the oldest notices are dropped beyond a maximum")
+  {
+    for (std::size_t number = 0; number < TargetNotices::kMaxLeaving; ++number) {
+      notices.RecordLeaving({ core::TargetId("u" + std::to_string(number)), 1 }, now + 1s);
+    }
+    CHECK_FALSE(notices.LeavingSince(process).has_value());
+    CHECK(notices.LeavingSince({ core::TargetId("u0"), 1 }).has_value());
+  }
+}
--- a/tests/src/unit-wire.cpp
+++ b/tests/src/unit-wire.cpp
@@ -197,3 +197,18 @@
   CHECK_FALSE(protocol.ReadResponse(503, {}).notRun);
   CHECK_FALSE(protocol.ReadResponse(500, {}).notRun);
 }
+
+TEST_CASE("a target's response may state that it is leaving or wants a pause")
+{
+  const wire::TargetWire protocol;
+  CHECK(protocol.ReadResponse(200, { { "server-leaving", "1" } }).leaving);
+  CHECK_FALSE(protocol.ReadResponse(200, { { "Server-Leaving", "0" } }).leaving);
+  CHECK_FALSE(protocol.ReadResponse(200, {}).leaving);
+  CHECK(protocol.ReadResponse(503, { { "Retry-After", "1.5" } }).retryAfter == 1'500ms);
+  CHECK(protocol.ReadResponse(503, { { "Retry-After", "1e300" } }).retryAfter == 24h);
+  CHECK_FALSE(protocol.ReadResponse(200, { { "Retry-After", "1.5" } }).retryAfter.has_value());
+  for (const char* invalid : { "", "soon", "-1", "0", "nan" }) {
+    CAPTURE(invalid);
+    CHECK_FALSE(protocol.ReadResponse(503, { { "Retry-After", invalid } }).retryAfter.has_value());
+  }
+}
