Send nothing to targets that state that they are leaving

Cause: the directory was the only source of which targets take requests. While a target cannot reach the store, or an instance cannot, the directory lists it as usable for as long as it lives. What the target says itself was dropped.

Change: what each process of a target states is kept, from every response, on every route, stage, retry and resume, to handle releases, reports and orders. It counts before the directory, for placement and for the stage planner, and instances tell each other. After the wait for a connection an attempt checks again that its target takes requests.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -123,6 +123,9 @@
   }
   this->path.fleet = std::move(aUpdate.fleet);
   this->path.confirmedAt = aUpdate.confirmedAt;
+  for (const serving::TargetProcess& process : aUpdate.leaving) {
+    this->path.notices.RecordLeaving(process, this->clock.Now());
+  }
   if (this->path.fleet->config != nullptr) {
     this->callerListener->SetLimits(this->path.fleet->config->limits);
   }
@@ -170,6 +173,7 @@
     this->control,
     this->store,
     this->directoryWire,
+    this->targetWire,
     this->controlPool,
     this->clock,
     options,
@@ -189,8 +193,10 @@
                  [this,
                   peers = std::move(aPeers),
                   demand = aDemand.Totals(),
-                  hasTraffic = aDemand.HasTraffic()] {
+                  hasTraffic = aDemand.HasTraffic(),
+                  leaving = this->path.notices.NewsFor(this->path.fleet->targets)] {
                    this->controller->UpdatePeers(peers);
+                   this->controller->SetLeaving(leaving);
                    this->controller->UpdateDemand(demand, hasTraffic);
                  });
     });
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -7,6 +7,7 @@
 
 #include <plantainslip/serving/load_tracker.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
+#include <plantainslip/serving/target_notices.hpp>
 
 namespace plantainslip::serving {
 
@@ -29,6 +30,9 @@
   LoadTable loads;
   /// @brief Targets that the sender currently cannot reach.
   std::vector<core::TargetId> unreachable;
+  /// @brief Processes that state that they are leaving while the sender's directory lists them as
+  ///        usable.
+  std::vector<TargetProcess> leaving;
   /// @brief Demand that the sender has seen since its start.
   DemandTable demand;
 };
--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -7,6 +7,7 @@
 #include <plantainslip/serving/load_tracker.hpp>
 #include <plantainslip/serving/prefill_model.hpp>
 #include <plantainslip/serving/target_health.hpp>
+#include <plantainslip/serving/target_notices.hpp>
 
 namespace plantainslip::serving {
 
@@ -20,6 +21,7 @@
   const LoadTracker& loads;
   const TargetHealth& health;
   const PrefillModel& prefill;
+  const TargetNotices& notices;
   core::ZoneId ownZone;
   core::MonotonicTime now;
 };
--- a/include/plantainslip/serving/target_notices.hpp
+++ b/include/plantainslip/serving/target_notices.hpp
@@ -44,6 +44,16 @@
   /// @brief Returns when a process was first known to be leaving, if it is.
   std::optional<core::MonotonicTime> LeavingSince(const TargetProcess& aProcess) const;
 
+  /// @brief Returns whether a target is leaving, according to the directory or to itself.
+  bool IsLeaving(const Target& aTarget) const
+  {
+    return aTarget.leaving || this->LeavingSince(ProcessOf(aTarget)).has_value();
+  }
+
+  /// @brief Returns the leaving processes that a directory still lists as usable; linear in the
+  ///        number of leaving processes.
+  std::vector<TargetProcess> NewsFor(const std::map<core::TargetId, Target>& aListed) const;
+
 private:
   std::map<TargetProcess, core::MonotonicTime> leaving;
 };
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -132,6 +132,7 @@
     case AttemptState::kTimedOut:
     case AttemptState::kNotSent:
       return AttemptResult::kUnreachable;
+    case AttemptState::kWithdrawn:
     case AttemptState::kCancelled:
       break;
   }
@@ -234,6 +235,15 @@
   return idempotent ? kMaxIdleIdempotent : kMaxIdleAtMostOnce;
 }
 
+bool
+AttemptCall::TargetTakesRequests() const
+{
+  const auto& targets = this->context.fleet->targets;
+  const auto listed = targets.find(this->target.id);
+  return listed != targets.end() && ProcessOf(listed->second) == ProcessOf(this->target) &&
+         !this->context.notices.IsLeaving(listed->second);
+}
+
 Task<Attempt>
 AttemptCall::SendAndReadHead(AttemptPlan aPlan, milliseconds aLimit)
 {
@@ -256,6 +266,12 @@
     attempt.detail = std::string(connection.status().message());
     co_return attempt;
   }
+  if (!this->TargetTakesRequests()) {
+    this->context.pool.Release(this->target.address, std::move(*connection), milliseconds(0));
+    attempt.state = AttemptState::kWithdrawn;
+    attempt.detail = "target withdrawn";
+    co_return attempt;
+  }
   this->call = std::make_unique<TargetCall>(std::move(*connection),
                                             this->request.info.id.Text(),
                                             this->context.protocol.RequestIdHeader(),
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -12,6 +12,9 @@
   kAnswered,
   /// @brief Nothing was sent.
   kNotSent,
+  /// @brief Nothing was sent, as the target became unavailable to new requests while the attempt
+  ///        waited for a connection.
+  kWithdrawn,
   /// @brief The target states that it has not run the request.
   kNotRun,
   /// @brief The request may have run; there is no usable response.
@@ -66,6 +69,9 @@
 private:
   std::string RequestHead(AttemptPlan& aPlan) const;
   milliseconds MaxIdle(AttemptStep aStep) const;
+  /// @brief Returns whether the target, chosen before the wait for a connection, is still listed
+  ///        and not leaving.
+  bool TargetTakesRequests() const;
   Task<absl::StatusOr<std::string>> ReadAll();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
   void CheckTargetAfter(const absl::Status& aFailure);
@@ -96,6 +102,13 @@
 HeaderList
 ForwardedResponseHeaders(const HeaderList& aHeaders);
 
+/// @brief Returns whether an attempt ended before anything was sent, although the request goes on.
+inline bool
+IsUnsent(AttemptState aState)
+{
+  return aState == AttemptState::kNotSent || aState == AttemptState::kWithdrawn;
+}
+
 /// @brief Returns whether a status tells the caller that its request has not run.
 bool
 IsNotRunStatus(int aStatus);
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -277,7 +277,7 @@
       }
       co_return PrefillOutcome::kCached;
     }
-    if (attempt.state == AttemptState::kNotSent) {
+    if (IsUnsent(attempt.state)) {
       this->request.unreachable.push_back(place->target.id);
       if (this->request.unreachable.size() < kMaxUnreachable) {
         continue;
@@ -407,7 +407,8 @@
     // The handle may have expired; the same engine can read the prompt itself.
     const bool hadHandle = this->cachedPrompt.has_value();
     this->cachedPrompt.reset();
-    if (hadHandle && TryTakeRetry(this->context, this->request)) {
+    const bool isUsable = !this->context.notices.IsLeaving(aEngine);
+    if (hadHandle && isUsable && TryTakeRetry(this->context, this->request)) {
       return aEngine;
     }
   }
@@ -415,7 +416,7 @@
     this->cachedPrompt.reset();
   }
   this->triedDecodeEngines.push_back(aEngine.id);
-  if (aAttempt.state == AttemptState::kNotSent) {
+  if (IsUnsent(aAttempt.state)) {
     return this->triedDecodeEngines.size() < kMaxUnreachable ? this->ChooseDecodeEngine()
                                                              : std::nullopt;
   }
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -41,6 +41,7 @@
 Control::Control(asio::io_context& aContext,
                  AsyncStore& aStore,
                  const DirectoryCodec& aCodec,
+                 const TargetProtocol& aProtocol,
                  ConnectionPool& aPool,
                  const core::Clock& aClock,
                  ControlOptions aOptions,
@@ -48,6 +49,7 @@
   : context(aContext)
   , store(aStore)
   , codec(aCodec)
+  , protocol(aProtocol)
   , pool(aPool)
   , clock(aClock)
   , options(std::move(aOptions))
@@ -262,6 +264,7 @@
   for (const auto& [id, change] : this->pendingOrders) {
     update.changing.push_back(id);
   }
+  update.leaving = this->leaving;
   this->publish(std::move(update));
 }
 
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -7,6 +7,7 @@
 
 #include <plantainslip/serving/directory.hpp>
 #include <plantainslip/serving/stage_plan.hpp>
+#include <plantainslip/serving/target_notices.hpp>
 
 #include <plantainslip/core/random.hpp>
 
@@ -35,6 +36,8 @@
   std::vector<PeerInstance> peers;
   /// @brief Engines that are changing their stage and must get no work.
   std::vector<core::TargetId> changing;
+  /// @brief Processes that stated in responses to orders that they are leaving.
+  std::vector<TargetProcess> leaving;
   /// @brief Whether to inform peers immediately, as they may have no other source.
   bool announce = false;
 };
@@ -63,6 +66,7 @@
   Control(asio::io_context& aContext,
           AsyncStore& aStore,
           const DirectoryCodec& aCodec,
+          const TargetProtocol& aProtocol,
           ConnectionPool& aPool,
           const core::Clock& aClock,
           ControlOptions aOptions,
@@ -75,6 +79,10 @@
   /// @brief Processes the states of live peers; called several times per second.
   void UpdatePeers(const std::vector<PeerState>& aPeers);
 
+  /// @brief Sets the processes that state that they are leaving while the directory lists them as
+  ///        usable; they count as leaving for the stage planner.
+  void SetLeaving(std::vector<TargetProcess> aLeaving) { this->leaving = std::move(aLeaving); }
+
   /// @brief Processes the demand that all instances have seen; called several times per second.
   /// @param aHasTraffic  whether any instance has seen traffic, also before this one started
   void UpdateDemand(const DemandTable& aTotals, bool aHasTraffic);
@@ -89,6 +97,7 @@
   Task<void> RenewLease();
   Task<void> SendOrders();
   Task<void> SendOrder(StageChange aChange);
+  bool StatesLeaving(const Target& aTarget, const absl::StatusOr<SimpleAnswer>& aAnswer);
   milliseconds TimeSinceMembershipChange() const;
   void RecordMembershipChange();
   void RemoveFinishedOrders();
@@ -106,6 +115,7 @@
   asio::io_context& context;
   AsyncStore& store;
   const DirectoryCodec& codec;
+  const TargetProtocol& protocol;
   ConnectionPool& pool;
   const core::Clock& clock;
   ControlOptions options;
@@ -152,6 +162,7 @@
   /// @brief Demand on the engines, by service.
   std::map<core::ServiceName, DemandEstimator> demand;
   bool hasTraffic = false;
+  std::vector<TargetProcess> leaving;
   /// @brief Whether there was a period of #kSettlingTime without a membership change since the
   ///        first one.
   bool settledBefore = false;
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -193,6 +193,12 @@
       found->second.stage = change.stage;
     }
   }
+  for (const TargetProcess& process : this->leaving) {
+    const auto found = fleet.targets.find(process.id);
+    if (found != fleet.targets.end() && ProcessOf(found->second) == process) {
+      found->second.leaving = true;
+    }
+  }
   return fleet;
 }
 
@@ -249,6 +255,20 @@
   }
 }
 
+bool
+Control::StatesLeaving(const Target& aTarget, const absl::StatusOr<SimpleAnswer>& aAnswer)
+{
+  if (!aAnswer.ok() || !this->protocol.ReadResponse(aAnswer->status, aAnswer->headers).leaving) {
+    return false;
+  }
+  core::Log(core::LogLevel::kInfo,
+            "orders: target states that it is leaving",
+            { { "target", aTarget.id.Text() } });
+  this->leaving.push_back(ProcessOf(aTarget));
+  this->PublishUpdate();
+  return true;
+}
+
 Task<void>
 Control::SendOrder(StageChange aChange)
 {
@@ -257,7 +277,9 @@
   const auto count = countAnswer.ok() && countAnswer->status == kOk
                        ? this->codec.ReadOrderCount(countAnswer->body)
                        : absl::StatusOr<std::uint64_t>(countAnswer.status());
-  if (!countAnswer.ok() || countAnswer->status != kOk || !count.ok() || !this->LeaseIsSafe()) {
+  const bool isLeaving = this->StatesLeaving(aChange.target, countAnswer);
+  if (!countAnswer.ok() || countAnswer->status != kOk || !count.ok() || isLeaving ||
+      !this->LeaseIsSafe()) {
     core::Log(core::LogLevel::kWarning,
               "orders: not sent",
               { { "target", aChange.target.id.Text() },
@@ -268,6 +290,7 @@
   SimpleRequest order = this->codec.StageOrder(aChange, authority, *count);
   order.timeout = kOrderTimeout;
   const auto answer = co_await SendSimpleRequest(this->pool, std::move(order));
+  this->StatesLeaving(aChange.target, answer);
   core::Log(
     core::LogLevel::kInfo,
     "orders: stage change sent",
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -112,6 +112,13 @@
   this->path.loads.SetPeerReport(aMessage.sender, aMessage.loads, now);
   this->demand.SetReport(aMessage.sender, aMessage.demand);
   this->path.health.SetPeerReport(aMessage.sender, aMessage.unreachable, now);
+  for (const TargetProcess& process : aMessage.leaving) {
+    if (this->path.notices.RecordLeaving(process, now)) {
+      core::Log(core::LogLevel::kInfo,
+                "target is leaving, according to a peer",
+                { { "target", process.id.Text() }, { "peer", aMessage.sender.Text() } });
+    }
+  }
   const FleetSnapshot& fleet = *this->path.fleet;
   const bool knowsMore = aMessage.configRevision > fleet.configRevision ||
                          aMessage.targetsRevision > fleet.targetsRevision;
@@ -185,6 +192,7 @@
   message.loads = this->path.loads.OwnLoads();
   message.demand = this->path.demand.Totals(now);
   message.unreachable = this->path.health.UnreachableTargets(now);
+  message.leaving = this->path.notices.NewsFor(this->path.fleet->targets);
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [id, peer] : this->peers) {
     if (aRecipients == Recipients::kAllZones || peer.state.zone == this->self.zone) {
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -10,7 +10,6 @@
 #include <plantainslip/retries/retry_policy.hpp>
 #include <plantainslip/serving/placement.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
-#include <plantainslip/serving/target_notices.hpp>
 
 #include "connection_pool.hpp"
 #include "path_metrics.hpp"
@@ -107,8 +106,8 @@
   /// @brief Returns the current input for placement decisions.
   PlacementView View() const
   {
-    return { *this->fleet,  this->loads,   this->health,
-             this->prefill, this->ownZone, this->clock.Now() };
+    return { *this->fleet,  this->loads,   this->health,     this->prefill,
+             this->notices, this->ownZone, this->clock.Now() };
   }
 };
 
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -33,6 +33,34 @@
   return services;
 }
 
+json
+EncodeProcesses(const std::vector<TargetProcess>& aProcesses)
+{
+  json processes = json::array();
+  for (const TargetProcess& process : aProcesses) {
+    processes.push_back(json::array({ process.id.Text(), process.startedAt }));
+  }
+  return processes;
+}
+
+// Returns whether the value is well-formed.
+bool
+DecodeProcesses(const json& aValue, std::vector<TargetProcess>& aProcesses)
+{
+  if (!aValue.is_array()) {
+    return false;
+  }
+  for (const json& entry : aValue) {
+    if (!entry.is_array() || entry.size() != 2 || !entry[0].is_string() ||
+        !entry[1].is_number_unsigned()) {
+      return false;
+    }
+    aProcesses.push_back(
+      { core::TargetId(entry[0].get<std::string>()), entry[1].get<std::uint64_t>() });
+  }
+  return true;
+}
+
 // Returns whether the value is well-formed.
 bool
 DecodeDemand(const json& aServices, DemandTable& aDemand)
@@ -86,7 +114,8 @@
                                      static_cast<std::uint64_t>(aMessage.linkMbps),
                                      aMessage.confirmedAge.count(),
                                      std::move(unreachable),
-                                     EncodeDemand(aMessage.demand) });
+                                     EncodeDemand(aMessage.demand),
+                                     EncodeProcesses(aMessage.leaving) });
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -98,12 +127,13 @@
   const auto bad = [] { return core::MakeError(errors::kBadAnswer, "malformed peer message"); };
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
   PeerMessage read;
-  constexpr std::size_t kFields = 10;
+  constexpr std::size_t kFields = 11;
   if (!message.is_array() || message.size() != kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !message[2].is_number_unsigned() ||
       !message[3].is_number_unsigned() || !message[4].is_array() || !message[5].is_string() ||
       !message[6].is_number_unsigned() || !message[7].is_number_unsigned() ||
-      !message[8].is_array() || !DecodeDemand(message[9], read.demand)) {
+      !message[8].is_array() || !DecodeDemand(message[9], read.demand) ||
+      !DecodeProcesses(message[10], read.leaving)) {
     return bad();
   }
   read.sender = core::InstanceId(message[0].get<std::string>());
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -40,7 +40,7 @@
   std::vector<const Target*> avoided;
   for (const auto& [id, target] : aView.fleet.targets) {
     const bool tried = std::find(aTried.begin(), aTried.end(), id) != aTried.end();
-    if (target.leaving || tried || !aAccepts(target)) {
+    if (aView.notices.IsLeaving(target) || tried || !aAccepts(target)) {
       continue;
     }
     (aView.health.IsAvoided(id, aView.now) ? avoided : preferred).push_back(&target);
@@ -91,7 +91,7 @@
   }
   std::uint64_t highest = routing::RendezvousWeight(aHomes.first->id, aKey);
   for (const auto& [id, target] : aView.fleet.targets) {
-    const bool eligible = target.leaving && target.service == aService &&
+    const bool eligible = aView.notices.IsLeaving(target) && target.service == aService &&
                           target.stage == EngineStage::kPrefill &&
                           !aView.health.IsAvoided(id, aView.now);
     const std::uint64_t weight = eligible ? routing::RendezvousWeight(id, aKey) : 0;
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -210,7 +210,7 @@
     if (attempt.state == AttemptState::kTimedOut || attempt.state == AttemptState::kCancelled) {
       aContext.pool.CloseIdle(target->address);
     }
-    if (attempt.state == AttemptState::kNotSent) {
+    if (IsUnsent(attempt.state)) {
       aRequest.unreachable.push_back(target->id);
       if (aRequest.unreachable.size() < kMaxUnreachable) {
         continue;
--- a/src/serving/target_notices.cpp
+++ b/src/serving/target_notices.cpp
@@ -27,4 +27,17 @@
                                       : std::optional<core::MonotonicTime>(found->second);
 }
 
+std::vector<TargetProcess>
+TargetNotices::NewsFor(const std::map<core::TargetId, Target>& aListed) const
+{
+  std::vector<TargetProcess> news;
+  for (const auto& [process, since] : this->leaving) {
+    const auto found = aListed.find(process.id);
+    if (found != aListed.end() && !found->second.leaving && ProcessOf(found->second) == process) {
+      news.push_back(process);
+    }
+  }
+  return news;
+}
+
 } // namespace plantainslip::serving
--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -64,6 +64,26 @@
   this->fatalPart = std::move(aPart);
 }
 
+void
+WireTarget::SetLeaving(bool aLeaving)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->leaving = aLeaving;
+}
+
+// Returns the header fields of all responses.
+HeaderList
+WireTarget::ResponseHeaders(const CallerRequest& aRequest) const
+{
+  HeaderList headers;
+  headers.push_back({ "X-Request-Id", HeaderOrEmpty(aRequest, "X-Request-Id") });
+  const std::scoped_lock lock(this->mutex);
+  if (this->leaving) {
+    headers.push_back({ "Server-Leaving", "1" });
+  }
+  return headers;
+}
+
 bool
 WireTarget::HasEnded() const
 {
@@ -149,10 +169,10 @@
 Task<bool>
 WireTarget::ServeControl(const CallerRequest& aRequest, AnswerWriter& aWriter)
 {
-  HeaderList none;
+  HeaderList headers = this->ResponseHeaders(aRequest);
   if (aRequest.target == "/plantainslip/report") {
     std::string body = R"({"stage":"decode","sequence":0})";
-    co_await aWriter.WriteWhole(200, std::move(none), std::move(body));
+    co_await aWriter.WriteWhole(200, std::move(headers), std::move(body));
     co_return true;
   }
   if (aRequest.target == "/plantainslip/order") {
@@ -161,7 +181,7 @@
       this->orders.push_back(aRequest.body);
     }
     std::string body;
-    co_await aWriter.WriteWhole(202, std::move(none), std::move(body));
+    co_await aWriter.WriteWhole(202, std::move(headers), std::move(body));
     co_return true;
   }
   co_return false;
@@ -170,8 +190,7 @@
 Task<void>
 WireTarget::Respond(const CallerRequest& aRequest, AnswerWriter& aWriter, bool aBreakOff)
 {
-  HeaderList headers;
-  headers.push_back({ "X-Request-Id", HeaderOrEmpty(aRequest, "X-Request-Id") });
+  HeaderList headers = this->ResponseHeaders(aRequest);
   if (HeaderOrEmpty(aRequest, "X-Serving-Stage") == "prefill") {
     std::string body = R"({"handle":"h1","tokens":10,"version":1})";
     co_await aWriter.WriteWhole(200, std::move(headers), std::move(body));
@@ -235,8 +254,7 @@
       if (copy > 0) {
         co_await serving::SleepFor(kSecondCopyDelay);
       }
-      HeaderList headers;
-      headers.push_back({ "X-Request-Id", HeaderOrEmpty(aRequest, "X-Request-Id") });
+      HeaderList headers = this->ResponseHeaders(aRequest);
       headers.push_back({ "X-Not-Run", "1" });
       std::string empty;
       co_await aWriter.WriteWhole(
@@ -245,8 +263,7 @@
     co_return;
   }
   if (act == TargetBehavior::kFail) {
-    HeaderList headers;
-    headers.push_back({ "X-Request-Id", HeaderOrEmpty(aRequest, "X-Request-Id") });
+    HeaderList headers = this->ResponseHeaders(aRequest);
     headers.push_back({ "X-Response-Seal", "seal-" + this->id });
     std::string body = "failed";
     co_await aWriter.WriteWhole(500, std::move(headers), std::move(body));
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -62,6 +62,9 @@
   ///        all connections end, and new ones are refused.
   void SetFatalPart(std::string aPart);
 
+  /// @brief Sets whether the target states in all its responses that it is leaving.
+  void SetLeaving(bool aLeaving);
+
   /// @brief Returns whether a request has ended the target.
   bool HasEnded() const;
 
@@ -88,6 +91,7 @@
                                    serving::AnswerWriter& aWriter);
   TargetBehavior RecordRequest(const serving::CallerRequest& aRequest);
   bool IsFatal(const serving::CallerRequest& aRequest) const;
+  serving::HeaderList ResponseHeaders(const serving::CallerRequest& aRequest) const;
   serving::Task<void> End(const serving::CallerRequest& aRequest, serving::AnswerWriter& aWriter);
 
   std::string id;
@@ -98,6 +102,7 @@
   std::size_t abandoned = 0;
   bool released = false;
   std::string fatalPart;
+  bool leaving = false;
   bool ended = false;
   core::SystemClock clock;
   std::unique_ptr<serving::HttpListener> listener;
--- /dev/null
+++ b/tests/src/process-leaving-targets.cpp
@@ -0,0 +1,149 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "harness/wire_fleet.hpp"
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+using fakes::TargetBehavior;
+using fakes::WireTarget;
+using harness::CallerAnswer;
+using harness::WireFleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One instance in front of two targets of each kind, whose directory entries stay `ready`.
+class ReadyFleet
+{
+public:
+  ReadyFleet()
+  {
+    this->fleet.Configure(3);
+    this->fleet.StartGateway();
+    this->fleet.AwaitServed("/look/x", 200);
+  }
+
+  CallerAnswer Send(const std::string& aPath)
+  {
+    const std::string id = "r" + std::to_string(++this->requests);
+    const bool isCompletion = aPath == "/quote/x" || aPath == "/note/x";
+    return isCompletion
+             ? this->fleet.Call("POST", aPath, id, WireFleet::CompletionHeaders(), "the prompt")
+             : this->fleet.Call("GET", aPath, id);
+  }
+
+  /// Sends requests until a target has received one; fails after 40.
+  CallerAnswer SendUntilReceived(const WireTarget& aTarget, const std::string& aPath)
+  {
+    const std::size_t before = aTarget.Received().size();
+    for (int request = 0; request < 40; ++request) {
+      CallerAnswer answer = this->Send(aPath);
+      if (aTarget.Received().size() > before) {
+        return answer;
+      }
+    }
+    FAIL("no request reached the target");
+    return {};
+  }
+
+  /// Returns whether a target gets none of the next requests, which must all be served.
+  bool GetsNone(const WireTarget& aTarget, const std::string& aPath)
+  {
+    const std::size_t before = aTarget.Received().size();
+    for (int request = 0; request < 12; ++request) {
+      CHECK(this->Send(aPath).status == 200);
+    }
+    return aTarget.Received().size() == before;
+  }
+
+  /// Returns the one of two targets that received more requests.
+  static WireTarget& Busier(WireTarget& aFirst, WireTarget& aSecond)
+  {
+    return aFirst.Received().size() >= aSecond.Received().size() ? aFirst : aSecond;
+  }
+
+  WireFleet fleet;
+  WireTarget& prefillA = this->fleet.AddTarget("i-p0", "models", "prefill");
+  WireTarget& prefillB = this->fleet.AddTarget("i-p1", "models", "prefill");
+  WireTarget& decodeA = this->fleet.AddTarget("i-d0", "models", "decode");
+  WireTarget& decodeB = this->fleet.AddTarget("i-d1", "models", "decode");
+  WireTarget& deskA = this->fleet.AddTarget("i-s0", "desk", "");
+  WireTarget& deskB = this->fleet.AddTarget("i-s1", "desk", "");
+
+private:
+  int requests = 0;
+};
+
+} // namespace
+
+TEST_CASE("a target that states that it is leaving gets no more requests, whatever the store says")
+{
+  ReadyFleet ready;
+  for (const char* path : { "/quote/x", "/note/x", "/look/x", "/pay/x" }) {
+    ready.Send(path);
+  }
+  SUBCASE("a target of a plain service")
+  {
+    ready.deskA.SetLeaving(true);
+    ready.SendUntilReceived(ready.deskA, "/look/x");
+    CHECK(ready.GetsNone(ready.deskA, "/look/x"));
+    CHECK(ready.GetsNone(ready.deskA, "/pay/x"));
+  }
+  SUBCASE("an engine that prefills")
+  {
+    WireTarget& engine = ReadyFleet::Busier(ready.prefillA, ready.prefillB);
+    engine.SetLeaving(true);
+    ready.SendUntilReceived(engine, "/quote/x");
+    CHECK(ready.GetsNone(engine, "/quote/x"));
+    CHECK(ready.GetsNone(engine, "/note/x"));
+  }
+  SUBCASE("an engine that decodes")
+  {
+    ready.decodeA.SetLeaving(true);
+    ready.SendUntilReceived(ready.decodeA, "/quote/x");
+    CHECK(ready.GetsNone(ready.decodeA, "/quote/x"));
+    CHECK(ready.GetsNone(ready.decodeA, "/note/x"));
+  }
+  SUBCASE("an engine that refuses a handle is not asked to read the prompt itself")
+  {
+    ready.decodeA.SetLeaving(true);
+    ready.decodeA.SetBehaviors({ TargetBehavior::kShed });
+    ready.SendUntilReceived(ready.decodeA, "/note/x");
+    CHECK(ready.decodeA.Received().back().path == "/note/x");
+    CHECK(ready.GetsNone(ready.decodeA, "/note/x"));
+  }
+  SUBCASE("a target that refuses the request")
+  {
+    ready.deskA.SetLeaving(true);
+    ready.deskA.SetBehaviors({ TargetBehavior::kShed });
+    CHECK(ready.SendUntilReceived(ready.deskA, "/look/x").status == 200);
+    CHECK(ready.GetsNone(ready.deskA, "/look/x"));
+  }
+  SUBCASE("a stream that breaks is resumed elsewhere")
+  {
+    ready.decodeA.SetLeaving(true);
+    ready.decodeA.SetBehaviors({ TargetBehavior::kBreak });
+    CHECK(ready.SendUntilReceived(ready.decodeA, "/note/x").complete);
+    CHECK(ready.GetsNone(ready.decodeA, "/note/x"));
+  }
+}
+
+TEST_CASE("an instance learns from its peers which targets state that they are leaving")
+{
+  ReadyFleet ready;
+  const net::Address first = ready.fleet.Callers();
+  ready.fleet.StartGateway();
+  ready.fleet.AwaitServed("/look/x", 200);
+  ready.deskA.SetLeaving(true);
+  const std::size_t before = ready.deskA.Received().size();
+  for (int request = 0; request < 40 && ready.deskA.Received().size() == before; ++request) {
+    ready.fleet.CallAt(first, "GET", "/look/x", "f" + std::to_string(request));
+  }
+  REQUIRE(ready.deskA.Received().size() == before + 1);
+  // Several message intervals.
+  std::this_thread::sleep_for(1'500ms);
+  CHECK(ready.GetsNone(ready.deskA, "/look/x"));
+}
--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -51,13 +51,15 @@
   LoadTracker loads;
   TargetHealth health;
   PrefillModel prefill;
+  TargetNotices notices;
   core::MonotonicTime now{};
 
   void Add(const Target& aTarget) { this->fleet.targets.emplace(aTarget.id, aTarget); }
 
   PlacementView View() const
   {
-    return { this->fleet, this->loads, this->health, this->prefill, core::ZoneId("a"), this->now };
+    return { this->fleet,   this->loads,       this->health, this->prefill,
+             this->notices, core::ZoneId("a"), this->now };
   }
 };
 
@@ -105,9 +107,19 @@
     const auto again = ChoosePrefill(fixture.View(), kEngineService, Prompt(5'000, 100), 400ms, {});
     CHECK(again->target.id == next->target.id);
   }
-  SUBCASE("the new home fetches the part from a leaving home")
+  SUBCASE("the new home fetches the part from a leaving home, by its notice or the directory's")
   {
-    fixture.fleet.targets.at(first->target.id).leaving = true;
+    bool byNotice = false;
+    SUBCASE("the target's own notice")
+    {
+      byNotice = true;
+    }
+    SUBCASE("the directory's entry") {}
+    if (byNotice) {
+      fixture.notices.RecordLeaving(ProcessOf(first->target), fixture.now);
+    } else {
+      fixture.fleet.targets.at(first->target.id).leaving = true;
+    }
     const auto next = ChoosePrefill(fixture.View(), kEngineService, Prompt(5'000, 900), 400ms, {});
     CHECK(next->target.id != first->target.id);
     CHECK(next->fetchFrom == first->target.address);
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -193,6 +193,7 @@
   message.linkMbps = 200.0;
   message.confirmedAge = 450ms;
   message.unreachable = { core::TargetId("u"), core::TargetId("v") };
+  message.leaving = { { core::TargetId("w"), 1'234 } };
   message.demand[core::ServiceName("models")] = { 7.0, 250.0, 900.0,   40'000.0,
                                                   2.0, 3.0,   1'500.0, 9e9 };
   const std::string bytes = EncodePeerMessage(message);
@@ -206,6 +207,7 @@
   CHECK(read->linkMbps == 200.0);
   CHECK(read->confirmedAge == 450ms);
   CHECK(read->unreachable == message.unreachable);
+  CHECK(read->leaving == message.leaving);
   CHECK(read->demand == message.demand);
   SUBCASE("a truncated message is an error, and a corrupted one never causes a crash")
   {
@@ -298,6 +300,22 @@
   {
     CHECK_FALSE(notices.LeavingSince({ process.id, 101 }).has_value());
   }
+  SUBCASE("they are news while the directory lists the process as usable")
+  {
+    std::map<core::TargetId, Target> listed;
+    CHECK(notices.NewsFor(listed).empty());
+    Target& target = listed[process.id];
+    target.id = process.id;
+    target.startedAt = process.startedAt;
+    CHECK(notices.NewsFor(listed) == std::vector{ process });
+    CHECK(notices.IsLeaving(target));
+    target.leaving = true;
+    CHECK(notices.NewsFor(listed).empty());
+    target.leaving = false;
+    target.startedAt = 101;
+    CHECK(notices.NewsFor(listed).empty());
+    CHECK_FALSE(notices.IsLeaving(target));
+  }
   SUBCASE("the oldest notices are dropped beyond a maximum")
   {
     for (std::size_t number = 0; number < TargetNotices::kMaxLeaving; ++number) {
