Do not end when an engine answers a report request with an error status

What callers saw: the instance that holds the lease for orders ended, and its connections with it, when an engine that was to get an order answered the request for its report with 503, as one that is full or leaving may.

Cause: a result was made from the OK status of an answer that had come, which aborts the process.

--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -61,6 +61,18 @@
               { "decode_late_share", std::to_string(demand.decodeLateShare) } });
 }
 
+absl::StatusOr<std::uint64_t>
+ReadOrderCount(const DirectoryCodec& aCodec, const absl::StatusOr<SimpleAnswer>& aAnswer)
+{
+  if (!aAnswer.ok()) {
+    return aAnswer.status();
+  }
+  if (aAnswer->status != kOk) {
+    return core::MakeError(errors::kBadAnswer, "status " + std::to_string(aAnswer->status));
+  }
+  return aCodec.ReadOrderCount(aAnswer->body);
+}
+
 } // namespace
 
 bool
@@ -274,15 +286,13 @@
 {
   SimpleRequest countRequest = this->codec.OrderCountRequest(aChange.target);
   const auto countAnswer = co_await SendSimpleRequest(this->pool, std::move(countRequest));
-  const auto count = countAnswer.ok() && countAnswer->status == kOk
-                       ? this->codec.ReadOrderCount(countAnswer->body)
-                       : absl::StatusOr<std::uint64_t>(countAnswer.status());
+  const auto count = ReadOrderCount(this->codec, countAnswer);
   const bool isLeaving = this->StatesLeaving(aChange.target, countAnswer);
-  if (!countAnswer.ok() || countAnswer->status != kOk || !count.ok() || isLeaving ||
-      !this->LeaseIsSafe()) {
+  if (isLeaving || !count.ok() || !this->LeaseIsSafe()) {
     core::Log(core::LogLevel::kWarning,
               "orders: not sent",
               { { "target", aChange.target.id.Text() },
+                { "report", std::string(count.status().message()) },
                 { "lease_safe", this->LeaseIsSafe() ? "yes" : "no" } });
     co_return;
   }
--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -64,6 +64,20 @@
   this->fatalPart = std::move(aPart);
 }
 
+void
+WireTarget::SetReportStatus(int aStatus)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->reportStatus = aStatus;
+}
+
+std::size_t
+WireTarget::CountReports() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->reports;
+}
+
 void
 WireTarget::SetLeaving(bool aLeaving)
 {
@@ -171,8 +185,14 @@
 {
   HeaderList headers = this->ResponseHeaders(aRequest);
   if (aRequest.target == "/plantainslip/report") {
+    int status = 0;
+    {
+      const std::scoped_lock lock(this->mutex);
+      ++this->reports;
+      status = this->reportStatus;
+    }
     std::string body = R"({"stage":"decode","sequence":0})";
-    co_await aWriter.WriteWhole(200, std::move(headers), std::move(body));
+    co_await aWriter.WriteWhole(status, std::move(headers), std::move(body));
     co_return true;
   }
   if (aRequest.target == "/plantainslip/order") {
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -65,6 +65,12 @@
   /// @brief Sets whether the target states in all its responses that it is leaving.
   void SetLeaving(bool aLeaving);
 
+  /// @brief Sets the status of the target's responses to report requests.
+  void SetReportStatus(int aStatus);
+
+  /// @brief Returns how many report requests the target has received.
+  std::size_t CountReports() const;
+
   /// @brief Returns whether a request has ended the target.
   bool HasEnded() const;
 
@@ -100,6 +106,8 @@
   std::vector<ReceivedRequest> received;
   std::vector<std::string> orders;
   std::size_t abandoned = 0;
+  std::size_t reports = 0;
+  int reportStatus = 200;
   bool released = false;
   std::string fatalPart;
   bool leaving = false;
--- a/tests/src/process-wire-path.cpp
+++ b/tests/src/process-wire-path.cpp
@@ -399,6 +399,23 @@
   CHECK(fleet.Store().Get("plantainslip/leader") == "one-0");
 }
 
+TEST_CASE("an engine that refuses to report gets no order, and the lease holder goes on")
+{
+  WireFleet fleet;
+  fakes::WireTarget& first = fleet.AddTarget("i-1", "models", "decode");
+  fakes::WireTarget& second = fleet.AddTarget("i-2", "models", "decode");
+  first.SetReportStatus(503);
+  second.SetReportStatus(503);
+  fleet.AddTarget("i-s", "desk", "");
+  fleet.Configure(3);
+  fleet.StartGateway();
+  Await("a report request", [&] { return first.CountReports() + second.CountReports() > 0; });
+  fleet.AwaitServed("/look/x", 200);
+  CHECK(fleet.Readiness() == 200);
+  CHECK(first.Orders().empty());
+  CHECK(second.Orders().empty());
+}
+
 TEST_CASE("a lease holder that was paused sends no order once another instance holds the lease")
 {
   WireFleet fleet;
