Send nothing to a target within the pause that it asks for

What callers saw: a target that had refused with Retry-After was asked again at once, by each instance, and refused again; callers were told to come back after 30 or 200 ms.

Cause: as for leaving targets, what a target says of itself was dropped: only the status was read.

Change: a refusal with Retry-After excludes the process from placement, on this instance, until then. If no other target is left, callers are refused at once with the rest of the shortest pause, and no prompt is read for engines that do not decode it.

--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -77,4 +77,12 @@
             const core::ServiceName& aService,
             const TriedTargets& aTried);
 
+/// @brief Returns the time until a target of a service takes requests again, if all that are not
+///        leaving want none for a time.
+///
+/// Engines that prefill are not considered: a request can do without one.
+/// @return zero if no such wait is known; linear in the number of targets
+milliseconds
+PauseOf(const PlacementView& aView, const core::ServiceName& aService);
+
 } // namespace plantainslip::serving
--- a/include/plantainslip/serving/target_notices.hpp
+++ b/include/plantainslip/serving/target_notices.hpp
@@ -29,8 +29,9 @@
 /// @brief Remembers what targets state about themselves in their responses.
 ///
 /// A leaving target may be unable to tell the store, and the store unable to tell this instance, so
-/// the directory may list it as usable until it ends. A notice holds for one process of a target.
-/// Not thread-safe.
+/// the directory may list it as usable until it ends. A target that is overloaded names the time in
+/// which it wants no requests from an instance that it refuses; requests sent before its end delay
+/// those that it has accepted. A notice holds for one process of a target. Not thread-safe.
 class TargetNotices
 {
 public:
@@ -54,7 +55,21 @@
   ///        number of leaving processes.
   std::vector<TargetProcess> NewsFor(const std::map<core::TargetId, Target>& aListed) const;
 
+  /// @brief Records that a process refused a request and wants no more from this instance for a
+  ///        time. Linear in the number of pauses.
+  void RecordPause(const TargetProcess& aProcess, milliseconds aDuration, core::MonotonicTime aNow);
+
+  /// @brief Returns how much longer a process wants no requests; zero if it takes them.
+  milliseconds PauseLeft(const TargetProcess& aProcess, core::MonotonicTime aNow) const;
+
+  /// @brief Returns whether a target takes new requests from this instance.
+  bool TakesRequests(const Target& aTarget, core::MonotonicTime aNow) const
+  {
+    return !this->IsLeaving(aTarget) && this->PauseLeft(ProcessOf(aTarget), aNow).count() == 0;
+  }
+
 private:
+  std::map<TargetProcess, core::MonotonicTime> pausedUntil;
   std::map<TargetProcess, core::MonotonicTime> leaving;
 };
 
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -102,6 +102,7 @@
         { "directory", !isListed ? "absent" : (listed->second.leaving ? "leaving" : "ready") } });
   }
   if (aInfo.retryAfter.has_value()) {
+    aContext.notices.RecordPause(ProcessOf(aTarget), *aInfo.retryAfter, now);
     aContext.metrics.Count("target_pauses_total", aTarget.service.Text());
     core::Log(core::LogLevel::kInfo,
               "target wants no requests for a time",
@@ -241,7 +242,7 @@
   const auto& targets = this->context.fleet->targets;
   const auto listed = targets.find(this->target.id);
   return listed != targets.end() && ProcessOf(listed->second) == ProcessOf(this->target) &&
-         !this->context.notices.IsLeaving(listed->second);
+         this->context.notices.TakesRequests(listed->second, this->context.clock.Now());
 }
 
 Task<Attempt>
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -70,7 +70,7 @@
   std::string RequestHead(AttemptPlan& aPlan) const;
   milliseconds MaxIdle(AttemptStep aStep) const;
   /// @brief Returns whether the target, chosen before the wait for a connection, is still listed
-  ///        and not leaving.
+  ///        and takes requests.
   bool TargetTakesRequests() const;
   Task<absl::StatusOr<std::string>> ReadAll();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -407,8 +407,9 @@
     // The handle may have expired; the same engine can read the prompt itself.
     const bool hadHandle = this->cachedPrompt.has_value();
     this->cachedPrompt.reset();
-    const bool isUsable = !this->context.notices.IsLeaving(aEngine);
-    if (hadHandle && isUsable && TryTakeRetry(this->context, this->request)) {
+    const bool takesRequests =
+      this->context.notices.TakesRequests(aEngine, this->context.clock.Now());
+    if (hadHandle && takesRequests && TryTakeRetry(this->context, this->request)) {
       return aEngine;
     }
   }
@@ -495,6 +496,11 @@
 Task<void>
 Completion::Serve()
 {
+  if (PauseOf(this->context.View(), this->request.service.name).count() > 0) {
+    std::string reason = "engines_paused";
+    co_await FailRequest(this->context, this->request, std::move(reason));
+    co_return;
+  }
   const PrefillOutcome outcome = co_await this->Prefill();
   if (outcome == PrefillOutcome::kRequestEnded) {
     this->context.demand.AddLate(this->request.service.name, 1.0, 0.0);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -31,8 +31,8 @@
 
 using Accepts = std::function<bool(const Target&)>;
 
-// Returns the targets that are accepted, not leaving and not tried; avoided ones only if no others
-// are left.
+// Returns the targets that are accepted, take requests and were not tried; avoided ones only if no
+// others are left.
 std::vector<const Target*>
 FindCandidates(const PlacementView& aView, const TriedTargets& aTried, const Accepts& aAccepts)
 {
@@ -40,7 +40,7 @@
   std::vector<const Target*> avoided;
   for (const auto& [id, target] : aView.fleet.targets) {
     const bool tried = std::find(aTried.begin(), aTried.end(), id) != aTried.end();
-    if (aView.notices.IsLeaving(target) || tried || !aAccepts(target)) {
+    if (tried || !aAccepts(target) || !aView.notices.TakesRequests(target, aView.now)) {
       continue;
     }
     (aView.health.IsAvoided(id, aView.now) ? avoided : preferred).push_back(&target);
@@ -211,6 +211,20 @@
   return best == nullptr ? std::nullopt : std::optional<Target>(*best);
 }
 
+milliseconds
+PauseOf(const PlacementView& aView, const core::ServiceName& aService)
+{
+  std::optional<milliseconds> shortest;
+  for (const auto& [id, target] : aView.fleet.targets) {
+    if (target.service == aService && target.stage != EngineStage::kPrefill &&
+        !aView.notices.IsLeaving(target)) {
+      const milliseconds left = aView.notices.PauseLeft(ProcessOf(target), aView.now);
+      shortest = std::min(shortest.value_or(left), left);
+    }
+  }
+  return shortest.value_or(milliseconds(0));
+}
+
 std::optional<Target>
 ChoosePlain(const PlacementView& aView,
             const core::ServiceName& aService,
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -160,7 +160,9 @@
   }
   if (!aRequest.mayHaveRun) {
     const bool isCompletion = aRequest.info.prompt.has_value();
-    const milliseconds retryAfter = isCompletion ? kRetryAfterEngineFailure : kRetryAfterRefusal;
+    const milliseconds retryAfter =
+      std::max(isCompletion ? kRetryAfterEngineFailure : kRetryAfterRefusal,
+               PauseOf(aContext.View(), aRequest.service.name));
     co_await Refuse(aContext, aRequest, kUnavailable, std::move(aReason), retryAfter);
     co_return;
   }
--- a/src/serving/target_notices.cpp
+++ b/src/serving/target_notices.cpp
@@ -27,6 +27,25 @@
                                       : std::optional<core::MonotonicTime>(found->second);
 }
 
+void
+TargetNotices::RecordPause(const TargetProcess& aProcess,
+                           milliseconds aDuration,
+                           core::MonotonicTime aNow)
+{
+  std::erase_if(this->pausedUntil, [&](const auto& aEntry) { return aEntry.second <= aNow; });
+  core::MonotonicTime& until = this->pausedUntil[aProcess];
+  until = std::max(until, aNow + aDuration);
+}
+
+milliseconds
+TargetNotices::PauseLeft(const TargetProcess& aProcess, core::MonotonicTime aNow) const
+{
+  const auto found = this->pausedUntil.find(aProcess);
+  return found == this->pausedUntil.end() || found->second <= aNow
+           ? milliseconds(0)
+           : std::chrono::ceil<milliseconds>(found->second - aNow);
+}
+
 std::vector<TargetProcess>
 TargetNotices::NewsFor(const std::map<core::TargetId, Target>& aListed) const
 {
--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -64,6 +64,13 @@
   this->fatalPart = std::move(aPart);
 }
 
+void
+WireTarget::SetRetryAfter(std::string aSeconds)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->retryAfter = std::move(aSeconds);
+}
+
 void
 WireTarget::SetReportStatus(int aStatus)
 {
@@ -276,6 +283,12 @@
       }
       HeaderList headers = this->ResponseHeaders(aRequest);
       headers.push_back({ "X-Not-Run", "1" });
+      {
+        const std::scoped_lock lock(this->mutex);
+        if (!this->retryAfter.empty()) {
+          headers.push_back({ "Retry-After", this->retryAfter });
+        }
+      }
       std::string empty;
       co_await aWriter.WriteWhole(
         act == TargetBehavior::kMisdirected ? 421 : 503, std::move(headers), std::move(empty));
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -65,6 +65,9 @@
   /// @brief Sets whether the target states in all its responses that it is leaving.
   void SetLeaving(bool aLeaving);
 
+  /// @brief Sets the value of the field `Retry-After` in refusals; empty for none.
+  void SetRetryAfter(std::string aSeconds);
+
   /// @brief Sets the status of the target's responses to report requests.
   void SetReportStatus(int aStatus);
 
@@ -110,6 +113,7 @@
   int reportStatus = 200;
   bool released = false;
   std::string fatalPart;
+  std::string retryAfter;
   bool leaving = false;
   bool ended = false;
   core::SystemClock clock;
--- a/tests/src/process-leaving-targets.cpp
+++ b/tests/src/process-leaving-targets.cpp
@@ -77,6 +77,15 @@
   int requests = 0;
 };
 
+// Returns the value of the field `Retry-After`; zero without one.
+double
+RetryAfterSeconds(const CallerAnswer& aAnswer)
+{
+  const std::string name = "Retry-After: ";
+  const std::size_t at = aAnswer.head.find(name);
+  return at == std::string::npos ? 0.0 : std::stod(aAnswer.head.substr(at + name.size()));
+}
+
 } // namespace
 
 TEST_CASE("a target that states that it is leaving gets no more requests, whatever the store says")
@@ -147,3 +156,47 @@
   std::this_thread::sleep_for(1'500ms);
   CHECK(ready.GetsNone(ready.deskA, "/look/x"));
 }
+
+TEST_CASE("a target that refuses with Retry-After gets no more requests until then")
+{
+  ReadyFleet ready;
+  SUBCASE("while another target takes them, and then again")
+  {
+    ready.deskA.SetRetryAfter("2.5");
+    ready.deskA.SetBehaviors({ TargetBehavior::kShed });
+    CHECK(ready.SendUntilReceived(ready.deskA, "/look/x").status == 200);
+    const auto refusedAt = std::chrono::steady_clock::now();
+    CHECK(ready.GetsNone(ready.deskA, "/look/x"));
+    CHECK(ready.GetsNone(ready.deskA, "/pay/x"));
+    std::this_thread::sleep_until(refusedAt + 2'600ms);
+    ready.SendUntilReceived(ready.deskA, "/look/x");
+  }
+  SUBCASE("and callers are told to come back then if no other target is left")
+  {
+    ready.deskA.SetRetryAfter("30");
+    ready.deskB.SetRetryAfter("40");
+    ready.deskA.SetBehaviors({ TargetBehavior::kShed });
+    ready.deskB.SetBehaviors({ TargetBehavior::kShed });
+    CHECK(ready.Send("/look/x").status == 503);
+    const std::size_t received = ready.deskA.Received().size() + ready.deskB.Received().size();
+    const CallerAnswer refused = ready.Send("/pay/x");
+    CHECK(refused.status == 503);
+    CHECK(RetryAfterSeconds(refused) > 20.0);
+    CHECK(RetryAfterSeconds(refused) <= 30.0);
+    CHECK(ready.deskA.Received().size() + ready.deskB.Received().size() == received);
+  }
+  SUBCASE("and no prompt is read for engines that do not decode it")
+  {
+    for (WireTarget* engine : { &ready.decodeA, &ready.decodeB }) {
+      engine->SetRetryAfter("30");
+      engine->SetBehaviors({ TargetBehavior::kShed, TargetBehavior::kShed });
+      ready.SendUntilReceived(*engine, "/quote/x");
+    }
+    const std::size_t prefills =
+      ready.prefillA.Received().size() + ready.prefillB.Received().size();
+    const CallerAnswer refused = ready.Send("/quote/x");
+    CHECK(refused.status == 503);
+    CHECK(RetryAfterSeconds(refused) > 20.0);
+    CHECK(ready.prefillA.Received().size() + ready.prefillB.Received().size() == prefills);
+  }
+}
--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -524,3 +524,29 @@
   add("d4", EngineStage::kDecode);
   CHECK(PlanStages(fleet, kEngineService, goal).size() >= 2);
 }
+
+TEST_CASE("targets that want no requests for a time")
+{
+  Fixture fixture;
+  fixture.Add(Plain("s1", "a"));
+  fixture.Add(Plain("s2", "b"));
+  const auto pause = [&](const char* aId, milliseconds aDuration) {
+    fixture.notices.RecordPause({ core::TargetId(aId), 0 }, aDuration, fixture.now);
+  };
+  pause("s1", 3s);
+  CHECK(ChoosePlain(fixture.View(), kPlainService, {})->id == core::TargetId("s2"));
+  CHECK(PauseOf(fixture.View(), kPlainService) == 0ms);
+  SUBCASE("are not chosen even if no other is left, until the first pause ends")
+  {
+    pause("s2", 2s);
+    CHECK_FALSE(ChoosePlain(fixture.View(), kPlainService, {}).has_value());
+    CHECK(PauseOf(fixture.View(), kPlainService) == 2s);
+    fixture.now += 2s;
+    CHECK(ChoosePlain(fixture.View(), kPlainService, {})->id == core::TargetId("s2"));
+  }
+  SUBCASE("leave only their pause if the others are leaving")
+  {
+    fixture.notices.RecordLeaving({ core::TargetId("s2"), 0 }, fixture.now);
+    CHECK(PauseOf(fixture.View(), kPlainService) == 3s);
+  }
+}
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -316,6 +316,14 @@
     CHECK(notices.NewsFor(listed).empty());
     CHECK_FALSE(notices.IsLeaving(target));
   }
+  SUBCASE("a pause ends by itself, and the longest one counts")
+  {
+    notices.RecordPause(process, 2s, now);
+    notices.RecordPause(process, 500ms, now + 1s);
+    CHECK(notices.PauseLeft(process, now + 1s) == 1s);
+    CHECK(notices.PauseLeft({ process.id, 101 }, now + 1s) == 0ms);
+    CHECK(notices.PauseLeft(process, now + 2s) == 0ms);
+  }
   SUBCASE("the oldest notices are dropped beyond a maximum")
   {
     for (std::size_t number = 0; number < TargetNotices::kMaxLeaving; ++number) {
