--- a/src/serving/store_follower.cpp
+++ b/src/serving/store_follower.cpp
@@ -150,7 +150,19 @@
   if (!this->storeReachable) {
     core::Log(core::LogLevel::kInfo,
               "store reachable",
-              { { "prefix", this->prefix }, { "revision", std::to_string(items->upTo.Number()) } });
+              { { "prefix", this->prefix },
+                { "era", std::to_string(items->era.Number()) },
+                { "revision", std::to_string(items->upTo.Number()) } });
+  }
+  if (items->era != this->era) {
+    core::Log(core::LogLevel::kInfo,
+              "store era changed",
+              { { "prefix", this->prefix },
+                { "era", std::to_string(items->era.Number()) },
+                { "revision", std::to_string(items->upTo.Number()) },
+                { "previous_era", std::to_string(this->era.Number()) },
+                { "previous_revision", std::to_string(this->replica.UpTo().Number()) } });
+    this->era = items->era;
   }
   this->storeReachable = true;
   this->outageLogged = false;
--- a/src/serving/store_follower.hpp
+++ b/src/serving/store_follower.hpp
@@ -94,6 +94,8 @@
   core::RandomSource random;
   WatchDuty duty;
   Replica replica;
+  /// @brief Era of the last response of the store.
+  StoreEra era;
   /// @brief Highest revision of an applied change.
   core::Revision newestChange;
   bool needsFullList = true;
