Order what the store says by its era, then by revision

Cause: a revision was taken for a position in one history, for good. After the store comes back from a copy a second history gives the same numbers to other changes, and whatever bears a known or lower one was taken for old: in the copies of the store, the directory, the configuration, between instances and in fencing tokens. Lease ids are given out again too, so a renewal could extend another's lease.

Change: a position is an era and a revision. A full list of a later era replaces what is known; changes of another era wait for its full list; readers of an earlier era get one. A lease ends with its era, and what the instance wrote is written again at once. Fencing tokens are made of the whole position. A configuration older than the one in force, as a copy may hold, is ignored.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -117,8 +117,8 @@
 Gateway::ApplyUpdate(serving::ControlUpdate aUpdate)
 {
   const bool firstConfig = this->path.fleet->config == nullptr && aUpdate.fleet->config != nullptr;
-  if (aUpdate.fleet->configRevision > this->path.fleet->configRevision ||
-      aUpdate.fleet->targetsRevision > this->path.fleet->targetsRevision) {
+  if (aUpdate.fleet->configPosition > this->path.fleet->configPosition ||
+      aUpdate.fleet->targetsPosition > this->path.fleet->targetsPosition) {
     this->metrics.Count("store_changes_total", aUpdate.announce ? "store" : "peer");
   }
   this->path.fleet = std::move(aUpdate.fleet);
--- a/include/plantainslip/serving/directory.hpp
+++ b/include/plantainslip/serving/directory.hpp
@@ -13,7 +13,7 @@
 struct DirectoryChange
 {
   core::TargetId id;
-  core::Revision revision;
+  StorePosition position;
   /// @brief Absent if the entry was removed or cannot be parsed; the entry then has no usable
   ///        target.
   std::optional<Target> target;
@@ -25,7 +25,7 @@
 ///
 /// In a store outage the leases of entries expire although their targets are alive, so an entry
 /// that is removed shortly after an outage is kept for a grace period. A change with an older
-/// revision never replaces a newer one. A target is dropped as soon as a process that started later
+/// position never replaces a newer one. A target is dropped as soon as a process that started later
 /// uses its address, even if its entry has not expired yet.
 class Directory
 {
@@ -47,10 +47,10 @@
   bool Apply(const DirectoryChange& aChange, core::MonotonicTime aNow);
 
   /// @brief Applies a full list; entries that are missing from it were removed.
-  /// @param aUpTo  revision of the list
+  /// @param aUpTo  position of the list
   /// @return true if the usable targets have changed
   bool ApplyAll(const std::vector<DirectoryChange>& aEntries,
-                core::Revision aUpTo,
+                StorePosition aUpTo,
                 core::MonotonicTime aNow);
 
   /// @brief Removes entries that were kept after an assumed lease expiry, once their grace period
@@ -67,7 +67,7 @@
   void RemoveSuperseded(const Target& aReplacement);
 
   std::map<core::TargetId, Target> targets;
-  std::map<core::TargetId, core::Revision> revisions;
+  std::map<core::TargetId, StorePosition> positions;
   std::map<core::TargetId, core::MonotonicTime> graceDeadlines;
   std::optional<core::MonotonicTime> outageAt;
 };
--- a/include/plantainslip/serving/fleet.hpp
+++ b/include/plantainslip/serving/fleet.hpp
@@ -11,6 +11,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/net/address.hpp>
+#include <plantainslip/serving/store_items.hpp>
 
 namespace plantainslip::serving {
 
@@ -135,9 +136,9 @@
 {
   std::shared_ptr<const ServingConfig> config;
   std::map<core::TargetId, Target> targets;
-  /// @brief Store revisions at which the configuration and the targets were read.
-  core::Revision configRevision;
-  core::Revision targetsRevision;
+  /// @brief Store positions at which the configuration and the targets were read.
+  StorePosition configPosition;
+  StorePosition targetsPosition;
 };
 
 /// @brief Finds the route of a request: the longest matching prefix among the host's routes.
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -22,8 +22,8 @@
   core::ZoneId zone;
   /// @brief Bandwidth of the sender's link in megabits per second.
   double linkMbps = 0.0;
-  core::Revision configRevision;
-  core::Revision targetsRevision;
+  StorePosition configPosition;
+  StorePosition targetsPosition;
   /// @brief Time since the store last confirmed that these revisions are the newest.
   milliseconds confirmedAge{ 0 };
   /// @brief Outstanding work that the sender has sent to targets.
--- a/include/plantainslip/serving/replica.hpp
+++ b/include/plantainslip/serving/replica.hpp
@@ -39,25 +39,27 @@
   /// Logarithmic in the number of keys for each item; a full list is also linear in the number of
   /// keys.
   /// @param aIsSnapshot  whether the items are a full list, so that missing keys were removed
-  void Apply(const StoreItems& aItems, bool aIsSnapshot);
+  /// @return false if nothing was applied: a full list is older than the copy, or changes are of
+  ///         another era, which begins with a full list
+  bool Apply(const StoreItems& aItems, bool aIsSnapshot);
 
   /// @brief Returns the changes that a reader is missing.
-  /// @param aAfter  revision up to which the reader is complete
-  /// @return changes after the revision, or a full list if the removals since then are not known;
+  /// @param aAfter  position up to which the reader is complete
+  /// @return changes after the position, or a full list if the removals since then are not known;
   ///         linear in the number of keys
-  ReplicaChanges ChangesAfter(core::Revision aAfter) const;
+  ReplicaChanges ChangesAfter(StorePosition aAfter) const;
 
-  /// @brief Returns the revision up to which the copy is complete; zero before the first list.
-  core::Revision UpTo() const { return this->upTo; }
+  /// @brief Returns the position up to which the copy is complete; zero before the first list.
+  StorePosition UpTo() const { return this->upTo; }
 
 private:
   void Merge(const StoreItem& aItem);
 
   std::map<std::string, StoreItem> items;
   std::size_t removalCount = 0;
-  /// @brief Removals before this revision may have been discarded or never received.
-  core::Revision removalsKnownFrom;
-  core::Revision upTo;
+  /// @brief Removals before this position may have been discarded or never received.
+  StorePosition removalsKnownFrom;
+  StorePosition upTo;
 };
 
 /// @brief Encodes changes as CBOR. Linear in their size.
--- a/include/plantainslip/serving/watch_duty.hpp
+++ b/include/plantainslip/serving/watch_duty.hpp
@@ -20,8 +20,8 @@
   /// @brief When the store last confirmed, directly or through other peers, that the peer's
   ///        revisions are the newest.
   core::MonotonicTime confirmedAt;
-  core::Revision configRevision;
-  core::Revision targetsRevision;
+  StorePosition configPosition;
+  StorePosition targetsPosition;
 };
 
 /// @brief Whether an instance watches the store itself.
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -104,8 +104,8 @@
   state.address = this->options.self.address;
   state.linkMbps = this->options.linkMbps;
   state.confirmedAt = this->confirmedAt;
-  state.configRevision = this->configRevision;
-  state.targetsRevision = this->targetsRevision;
+  state.configPosition = this->configPosition;
+  state.targetsPosition = this->targetsPosition;
   return state;
 }
 
@@ -133,8 +133,8 @@
   const core::MonotonicTime now = this->clock.Now();
   for (const PeerState& peer : aPeers) {
     const bool sameZone = peer.zone == this->options.self.zone;
-    this->configFollower.OnPeerRevision(peer.configRevision, peer.address, sameZone);
-    this->targetFollower.OnPeerRevision(peer.targetsRevision, peer.address, sameZone);
+    this->configFollower.OnPeerPosition(peer.configPosition, peer.address, sameZone);
+    this->targetFollower.OnPeerPosition(peer.targetsPosition, peer.address, sameZone);
   }
   this->livePeerCount = static_cast<std::size_t>(std::count_if(
     aPeers.begin(), aPeers.end(), [&](const auto& aPeer) { return IsAlive(aPeer, now); }));
@@ -166,23 +166,32 @@
 {
   for (const StoreItem& item : aChanges.items.items) {
     if (item.key != this->codec.ConfigKey() || item.removed ||
-        item.revision <= this->configRevision) {
+        item.position <= this->configPosition) {
       continue;
     }
     absl::StatusOr<ServingConfig> read = this->codec.ReadConfig(item.value);
     if (!read.ok()) {
       core::Log(core::LogLevel::kError,
                 "configuration invalid; the previous one stays in force",
-                { { "revision", std::to_string(item.revision.Number()) },
+                { { "revision", std::to_string(item.position.revision.Number()) },
                   { "error", std::string(read.status().message()) } });
       continue;
     }
-    this->configRevision = item.revision;
+    this->configPosition = item.position;
+    if (this->config != nullptr && read->version < this->config->version) {
+      // The store came back from an older copy; the operator writes the newest version again.
+      core::Log(core::LogLevel::kWarning,
+                "configuration older than the one in force; ignored",
+                { { "version", std::to_string(read->version.Number()) },
+                  { "in_force", std::to_string(this->config->version.Number()) } });
+      this->PublishUpdate(aChanges.origin == ChangeOrigin::kStore);
+      continue;
+    }
     this->config = std::make_shared<const ServingConfig>(std::move(*read));
     core::Log(core::LogLevel::kInfo,
               "configuration in force",
               { { "version", std::to_string(this->config->version.Number()) },
-                { "revision", std::to_string(item.revision.Number()) },
+                { "revision", std::to_string(item.position.revision.Number()) },
                 { "routes", std::to_string(this->config->routes.size()) },
                 { "origin", OriginName(aChanges.origin) } });
     this->PublishUpdate(aChanges.origin == ChangeOrigin::kStore);
@@ -199,7 +208,7 @@
   for (const StoreItem& item : aChanges.items.items) {
     DirectoryChange change;
     change.id = core::TargetId(item.key.substr(this->codec.TargetPrefix().size()));
-    change.revision = item.revision;
+    change.position = item.position;
     change.removed = item.removed;
     if (!item.removed) {
       absl::StatusOr<Target> read = this->codec.ReadTarget(item.key, item.value);
@@ -211,7 +220,7 @@
                   { { "key", item.key }, { "error", std::string(read.status().message()) } });
       }
     }
-    this->targetsRevision = std::max(this->targetsRevision, item.revision);
+    this->targetsPosition = std::max(this->targetsPosition, item.position);
     changes.push_back(std::move(change));
   }
   const core::MonotonicTime now = this->clock.Now();
@@ -231,7 +240,7 @@
     core::Log(core::LogLevel::kInfo,
               "targets changed",
               { { "targets", std::to_string(this->directory.Targets().size()) },
-                { "revision", std::to_string(this->targetsRevision.Number()) },
+                { "revision", std::to_string(this->targetsPosition.revision.Number()) },
                 { "origin", OriginName(aChanges.origin) } });
     this->PublishUpdate(aChanges.origin == ChangeOrigin::kStore);
   }
@@ -254,8 +263,8 @@
   auto fleet = std::make_shared<FleetSnapshot>();
   fleet->config = this->config;
   fleet->targets = this->directory.Targets();
-  fleet->configRevision = this->configRevision;
-  fleet->targetsRevision = this->targetsRevision;
+  fleet->configPosition = this->configPosition;
+  fleet->targetsPosition = this->targetsPosition;
   ControlUpdate update;
   update.fleet = std::move(fleet);
   update.confirmedAt = this->confirmedAt;
@@ -271,27 +280,27 @@
 Task<bool>
 Control::EnsureEntry()
 {
-  if (!this->entryLease.has_value()) {
-    const auto lease = co_await this->store.Grant(kEntryTtl);
-    if (!lease.ok()) {
-      co_return false;
-    }
-    const PeerInstance& self = this->options.self;
-    std::string key = kInstancePrefix + self.id.Text();
-    std::string value = self.address.Text() + " " + self.zone.Text();
-    const auto written =
-      co_await this->store.Put(std::move(key), std::move(value), *lease, std::nullopt);
-    if (!written.ok()) {
-      co_return false;
+  if (this->entryLease.has_value()) {
+    const absl::Status renewed = co_await this->store.Renew(*this->entryLease);
+    if (!core::IsError(renewed, errors::kStoreConflict)) {
+      co_return renewed.ok();
     }
-    this->entryLease = *lease;
-    co_return true;
-  }
-  const absl::Status renewed = co_await this->store.Renew(*this->entryLease);
-  if (core::IsError(renewed, errors::kStoreConflict)) {
     this->entryLease.reset();
   }
-  co_return renewed.ok();
+  const auto lease = co_await this->store.Grant(kEntryTtl);
+  if (!lease.ok()) {
+    co_return false;
+  }
+  const PeerInstance& self = this->options.self;
+  std::string key = kInstancePrefix + self.id.Text();
+  std::string value = self.address.Text() + " " + self.zone.Text();
+  const auto written =
+    co_await this->store.Put(std::move(key), std::move(value), *lease, std::nullopt);
+  if (!written.ok()) {
+    co_return false;
+  }
+  this->entryLease = *lease;
+  co_return true;
 }
 
 Task<void>
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -128,17 +128,17 @@
   WatchDuty duty;
   Directory directory;
   std::shared_ptr<const ServingConfig> config;
-  core::Revision configRevision;
-  core::Revision targetsRevision;
+  StorePosition configPosition;
+  StorePosition targetsPosition;
   core::MonotonicTime confirmedAt;
   std::vector<PeerInstance> peers;
   /// @brief Number of peers that are alive.
   std::size_t livePeerCount = 0;
-  std::optional<LeaseId> entryLease;
+  std::optional<Lease> entryLease;
 
   struct Leadership
   {
-    LeaseId lease;
+    Lease lease;
     core::FencingToken token;
     /// @brief Boot time until which the lease holds; that clock also runs while the machine is
     ///        suspended.
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -112,10 +112,10 @@
   if (!written.ok()) {
     co_return;
   }
-  // The revision of the key grows with every holder, so it serves as the fencing token. No order is
+  // The position of the key grows with every holder, so it serves as the fencing token. No order is
   // sent until all orders of the previous holder are at least one lease duration old.
   Leadership acquired{ *lease,
-                       core::FencingToken(written->Number()),
+                       FencingTokenAt(*written),
                        before + this->options.leaseDuration,
                        BootTime() + this->options.leaseDuration };
   this->leadership = acquired;
--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -57,11 +57,11 @@
 bool
 Directory::Apply(const DirectoryChange& aChange, core::MonotonicTime aNow)
 {
-  core::Revision& known = this->revisions[aChange.id];
-  if (aChange.revision <= known) {
+  StorePosition& known = this->positions[aChange.id];
+  if (aChange.position <= known) {
     return false;
   }
-  known = aChange.revision;
+  known = aChange.position;
   if (aChange.removed) {
     return this->Remove(aChange.id, aNow);
   }
@@ -83,7 +83,7 @@
 
 bool
 Directory::ApplyAll(const std::vector<DirectoryChange>& aEntries,
-                    core::Revision aUpTo,
+                    StorePosition aUpTo,
                     core::MonotonicTime aNow)
 {
   bool changed = false;
@@ -94,7 +94,7 @@
   }
   std::vector<core::TargetId> missing;
   for (const auto& [id, target] : this->targets) {
-    if (!listed.contains(id) && this->revisions[id] <= aUpTo) {
+    if (!listed.contains(id) && this->positions[id] <= aUpTo) {
       missing.push_back(id);
     }
   }
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -99,16 +99,16 @@
   }
   peer.sequence = aMessage.sequence;
   peer.endpoint = aFrom;
-  const bool newer = aMessage.configRevision > state.configRevision ||
-                     aMessage.targetsRevision > state.targetsRevision;
+  const bool newer = aMessage.configPosition > state.configPosition ||
+                     aMessage.targetsPosition > state.targetsPosition;
   state = { aMessage.sender,
             aMessage.zone,
             { aFrom.address().to_string(), aFrom.port() },
             aMessage.linkMbps,
             now,
             now - aMessage.confirmedAge,
-            aMessage.configRevision,
-            aMessage.targetsRevision };
+            aMessage.configPosition,
+            aMessage.targetsPosition };
   this->path.loads.SetPeerReport(aMessage.sender, aMessage.loads, now);
   this->demand.SetReport(aMessage.sender, aMessage.demand);
   this->path.health.SetPeerReport(aMessage.sender, aMessage.unreachable, now);
@@ -120,8 +120,8 @@
     }
   }
   const FleetSnapshot& fleet = *this->path.fleet;
-  const bool knowsMore = aMessage.configRevision > fleet.configRevision ||
-                         aMessage.targetsRevision > fleet.targetsRevision;
+  const bool knowsMore = aMessage.configPosition > fleet.configPosition ||
+                         aMessage.targetsPosition > fleet.targetsPosition;
   if (newer && knowsMore) {
     this->ReportPeers();
   }
@@ -187,8 +187,8 @@
   message.linkMbps = this->linkMbps;
   const auto age = std::chrono::duration_cast<milliseconds>(now - this->path.confirmedAt);
   message.confirmedAge = std::clamp(age, milliseconds(0), kMaxConfirmedAge);
-  message.configRevision = this->path.fleet->configRevision;
-  message.targetsRevision = this->path.fleet->targetsRevision;
+  message.configPosition = this->path.fleet->configPosition;
+  message.targetsPosition = this->path.fleet->targetsPosition;
   message.loads = this->path.loads.OwnLoads();
   message.demand = this->path.demand.Totals(now);
   message.unreachable = this->path.health.UnreachableTargets(now);
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -33,6 +33,25 @@
   return services;
 }
 
+json
+EncodePosition(const StorePosition& aPosition)
+{
+  return json::array({ aPosition.era.Number(), aPosition.revision.Number() });
+}
+
+// Returns whether the value is well-formed.
+bool
+DecodePosition(const json& aValue, StorePosition& aPosition)
+{
+  if (!aValue.is_array() || aValue.size() != 2 || !aValue[0].is_number_unsigned() ||
+      !aValue[1].is_number_unsigned()) {
+    return false;
+  }
+  aPosition = { StoreEra(aValue[0].get<std::uint64_t>()),
+                core::Revision(aValue[1].get<std::uint64_t>()) };
+  return true;
+}
+
 json
 EncodeProcesses(const std::vector<TargetProcess>& aProcesses)
 {
@@ -107,8 +126,8 @@
   }
   const json message = json::array({ aMessage.sender.Text(),
                                      aMessage.sequence,
-                                     aMessage.configRevision.Number(),
-                                     aMessage.targetsRevision.Number(),
+                                     EncodePosition(aMessage.configPosition),
+                                     EncodePosition(aMessage.targetsPosition),
                                      std::move(loads),
                                      aMessage.zone.Text(),
                                      static_cast<std::uint64_t>(aMessage.linkMbps),
@@ -129,17 +148,15 @@
   PeerMessage read;
   constexpr std::size_t kFields = 11;
   if (!message.is_array() || message.size() != kFields || !message[0].is_string() ||
-      !message[1].is_number_unsigned() || !message[2].is_number_unsigned() ||
-      !message[3].is_number_unsigned() || !message[4].is_array() || !message[5].is_string() ||
-      !message[6].is_number_unsigned() || !message[7].is_number_unsigned() ||
-      !message[8].is_array() || !DecodeDemand(message[9], read.demand) ||
-      !DecodeProcesses(message[10], read.leaving)) {
+      !message[1].is_number_unsigned() || !DecodePosition(message[2], read.configPosition) ||
+      !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
+      !message[5].is_string() || !message[6].is_number_unsigned() ||
+      !message[7].is_number_unsigned() || !message[8].is_array() ||
+      !DecodeDemand(message[9], read.demand) || !DecodeProcesses(message[10], read.leaving)) {
     return bad();
   }
   read.sender = core::InstanceId(message[0].get<std::string>());
   read.sequence = message[1].get<std::uint64_t>();
-  read.configRevision = core::Revision(message[2].get<std::uint64_t>());
-  read.targetsRevision = core::Revision(message[3].get<std::uint64_t>());
   read.zone = core::ZoneId(message[5].get<std::string>());
   read.linkMbps = message[6].get<double>();
   read.confirmedAge = milliseconds(message[7].get<std::int64_t>());
--- a/src/serving/replica.cpp
+++ b/src/serving/replica.cpp
@@ -16,7 +16,7 @@
 Replica::Merge(const StoreItem& aItem)
 {
   StoreItem& known = this->items[aItem.key];
-  if (aItem.revision <= known.revision) {
+  if (aItem.position <= known.position) {
     return;
   }
   this->removalCount -= known.removed ? 1 : 0;
@@ -24,11 +24,13 @@
   known = aItem;
 }
 
-void
+bool
 Replica::Apply(const StoreItems& aItems, bool aIsSnapshot)
 {
-  if (aIsSnapshot && aItems.upTo < this->upTo) {
-    return;
+  const bool isOlder = aItems.upTo < this->upTo;
+  const bool isOtherEra = aItems.upTo.era != this->upTo.era;
+  if (aIsSnapshot ? isOlder : isOtherEra) {
+    return false;
   }
   std::set<std::string> listed;
   for (const StoreItem& item : aItems.items) {
@@ -37,16 +39,16 @@
   }
   if (aIsSnapshot) {
     for (auto& [key, item] : this->items) {
-      if (!item.removed && !listed.contains(key) && item.revision <= aItems.upTo) {
+      if (!item.removed && !listed.contains(key) && item.position <= aItems.upTo) {
         // The revision of the removal is unknown; it is the list's revision at the latest.
         item.removed = true;
         item.value.clear();
-        item.revision = aItems.upTo;
+        item.position = aItems.upTo;
         ++this->removalCount;
       }
     }
-    this->removalsKnownFrom =
-      this->upTo == core::Revision(0) ? aItems.upTo : this->removalsKnownFrom;
+    const bool isFirst = this->upTo == StorePosition{};
+    this->removalsKnownFrom = isFirst || isOtherEra ? aItems.upTo : this->removalsKnownFrom;
   }
   this->upTo = std::max(this->upTo, aItems.upTo);
   if (this->removalCount > kMaxRemovals) {
@@ -54,16 +56,17 @@
     this->removalCount = 0;
     this->removalsKnownFrom = this->upTo;
   }
+  return true;
 }
 
 ReplicaChanges
-Replica::ChangesAfter(core::Revision aAfter) const
+Replica::ChangesAfter(StorePosition aAfter) const
 {
   ReplicaChanges changes;
-  changes.isSnapshot = aAfter < this->removalsKnownFrom;
+  changes.isSnapshot = aAfter < this->removalsKnownFrom || aAfter.era != this->upTo.era;
   changes.changes.upTo = this->upTo;
   for (const auto& [key, item] : this->items) {
-    const bool missing = changes.isSnapshot ? !item.removed : item.revision > aAfter;
+    const bool missing = changes.isSnapshot ? !item.removed : item.position > aAfter;
     if (missing) {
       changes.changes.items.push_back(item);
     }
@@ -77,15 +80,19 @@
   json items = json::array();
   for (const StoreItem& item : aChanges.changes.items) {
     const json::binary_t::container_type bytes(item.value.begin(), item.value.end());
-    items.push_back(
-      json::array({ item.key, item.revision.Number(), item.removed, json::binary(bytes) }));
+    items.push_back(json::array(
+      { item.key, item.position.revision.Number(), item.removed, json::binary(bytes) }));
   }
   const json sinceOutage =
     aChanges.sinceOutage.has_value()
       ? json(static_cast<std::uint64_t>(std::max<std::int64_t>(0, aChanges.sinceOutage->count())))
       : json(nullptr);
-  const json message = json::array(
-    { aChanges.changes.upTo.Number(), aChanges.isSnapshot, sinceOutage, std::move(items) });
+  // All items that are sent are of the era that they are complete up to.
+  const json message = json::array({ aChanges.changes.upTo.era.Number(),
+                                     aChanges.changes.upTo.revision.Number(),
+                                     aChanges.isSnapshot,
+                                     sinceOutage,
+                                     std::move(items) });
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -98,18 +105,19 @@
     return core::MakeError(errors::kBadAnswer, "malformed changes from a peer");
   };
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  constexpr std::size_t kFields = 4;
+  constexpr std::size_t kFields = 5;
   if (!message.is_array() || message.size() != kFields || !message[0].is_number_unsigned() ||
-      !message[1].is_boolean() || !message[3].is_array()) {
+      !message[1].is_number_unsigned() || !message[2].is_boolean() || !message[4].is_array()) {
     return bad();
   }
   ReplicaChanges read;
-  read.changes.upTo = core::Revision(message[0].get<std::uint64_t>());
-  read.isSnapshot = message[1].get<bool>();
-  if (message[2].is_number_unsigned()) {
-    read.sinceOutage = milliseconds(message[2].get<std::int64_t>());
+  const StoreEra era(message[0].get<std::uint64_t>());
+  read.changes.upTo = { era, core::Revision(message[1].get<std::uint64_t>()) };
+  read.isSnapshot = message[2].get<bool>();
+  if (message[3].is_number_unsigned()) {
+    read.sinceOutage = milliseconds(message[3].get<std::int64_t>());
   }
-  for (const json& entry : message[3]) {
+  for (const json& entry : message[4]) {
     constexpr std::size_t kItemFields = 4;
     if (!entry.is_array() || entry.size() != kItemFields || !entry[0].is_string() ||
         !entry[1].is_number_unsigned() || !entry[2].is_boolean() || !entry[3].is_binary()) {
@@ -117,7 +125,7 @@
     }
     StoreItem item;
     item.key = entry[0].get<std::string>();
-    item.revision = core::Revision(entry[1].get<std::uint64_t>());
+    item.position = { era, core::Revision(entry[1].get<std::uint64_t>()) };
     item.removed = entry[2].get<bool>();
     const auto& bytes = entry[3].get_binary();
     item.value.assign(bytes.begin(), bytes.end());
--- a/src/serving/store_follower.cpp
+++ b/src/serving/store_follower.cpp
@@ -1,7 +1,9 @@
 #include "store_follower.hpp"
 
 #include <algorithm>
-#include <charconv>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
@@ -37,7 +39,27 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
-// Returns the path at which peers serve changes of a prefix; the caller appends the revision.
+std::string
+FormatPosition(const StorePosition& aPosition)
+{
+  return std::to_string(aPosition.era.Number()) + "." + std::to_string(aPosition.revision.Number());
+}
+
+// Returns the zero position, which asks for everything, if the text is not one.
+StorePosition
+ParsePosition(std::string_view aText)
+{
+  const std::pair<absl::string_view, absl::string_view> parts =
+    absl::StrSplit(absl::string_view(aText.data(), aText.size()), absl::MaxSplits('.', 1));
+  std::uint64_t era = 0;
+  std::uint64_t revision = 0;
+  if (!absl::SimpleAtoi(parts.first, &era) || !absl::SimpleAtoi(parts.second, &revision)) {
+    return {};
+  }
+  return { StoreEra(era), core::Revision(revision) };
+}
+
+// Returns the path at which peers serve changes of a prefix; the caller appends the position.
 std::string
 ChangesPath(const std::string& aPrefix)
 {
@@ -107,23 +129,43 @@
   this->outageAt = this->clock.Now();
 }
 
-void
+bool
 StoreFollower::ApplyChanges(const StoreItems& aItems,
                             bool aIsSnapshot,
                             ChangeOrigin aOrigin,
                             std::optional<core::MonotonicTime> aOutageAt)
 {
-  this->replica.Apply(aItems, aIsSnapshot);
+  const StorePosition before = this->replica.UpTo();
+  if (!this->replica.Apply(aItems, aIsSnapshot)) {
+    core::Log(core::LogLevel::kInfo,
+              "store changes older than those known; ignored",
+              { { "prefix", this->prefix },
+                { "era", std::to_string(aItems.upTo.era.Number()) },
+                { "known_era", std::to_string(before.era.Number()) } });
+    return false;
+  }
+  this->needsFullList = this->needsFullList && !aIsSnapshot;
+  if (aItems.upTo.era != before.era && before != StorePosition{}) {
+    core::Log(core::LogLevel::kWarning,
+              "store era changed",
+              { { "prefix", this->prefix },
+                { "era", std::to_string(aItems.upTo.era.Number()) },
+                { "revision", std::to_string(aItems.upTo.revision.Number()) },
+                { "previous_era", std::to_string(before.era.Number()) },
+                { "previous_revision", std::to_string(before.revision.Number()) } });
+  }
   for (const StoreItem& item : aItems.items) {
-    this->newestChange = std::max(this->newestChange, item.revision);
+    this->newestChange = std::max(this->newestChange, item.position);
   }
   this->onChanges(FollowedChanges{ aItems, aIsSnapshot, aOrigin, aOutageAt });
+  return true;
 }
 
 Task<bool>
 StoreFollower::ReadStore()
 {
   const bool fullList = this->needsFullList;
+  const StorePosition after = this->replica.UpTo();
   absl::StatusOr<StoreItems> items;
   // Time after which a call counts as overdue. Longer than the store client's own limits: 900 ms
   // for a list, 700 ms beyond the wait of a watch.
@@ -134,9 +176,11 @@
   } else {
     const auto wait = this->NextWatchTimeout();
     this->watchDeadline = this->clock.Now() + wait + kWatchGracePeriod;
-    items = co_await this->store.Watch(this->prefix, this->replica.UpTo(), wait);
+    items = co_await this->store.Watch(this->prefix, after, wait);
   }
-  if (core::IsError(items.status(), errors::kHistoryGone)) {
+  // The revision that the watch began at has another meaning in another era.
+  const bool isOtherEra = items.ok() && items->upTo.era != after.era;
+  if (core::IsError(items.status(), errors::kHistoryGone) || (!fullList && isOtherEra)) {
     core::Log(core::LogLevel::kInfo,
               "store history no longer available; reading the full list",
               { { "prefix", this->prefix } });
@@ -151,23 +195,14 @@
     core::Log(core::LogLevel::kInfo,
               "store reachable",
               { { "prefix", this->prefix },
-                { "era", std::to_string(items->era.Number()) },
-                { "revision", std::to_string(items->upTo.Number()) } });
-  }
-  if (items->era != this->era) {
-    core::Log(core::LogLevel::kInfo,
-              "store era changed",
-              { { "prefix", this->prefix },
-                { "era", std::to_string(items->era.Number()) },
-                { "revision", std::to_string(items->upTo.Number()) },
-                { "previous_era", std::to_string(this->era.Number()) },
-                { "previous_revision", std::to_string(this->replica.UpTo().Number()) } });
-    this->era = items->era;
+                { "era", std::to_string(items->upTo.era.Number()) },
+                { "revision", std::to_string(items->upTo.revision.Number()) } });
   }
   this->storeReachable = true;
   this->outageLogged = false;
-  this->needsFullList = false;
-  this->ApplyChanges(*items, fullList, ChangeOrigin::kStore, this->outageAt);
+  if (!this->ApplyChanges(*items, fullList, ChangeOrigin::kStore, this->outageAt)) {
+    co_return false;
+  }
   if (!items->items.empty()) {
     co_await SleepFor(fullList ? kPeerDiscoveryTime : this->batchDelay);
   }
@@ -193,28 +228,28 @@
 }
 
 void
-StoreFollower::OnPeerRevision(core::Revision aPeerRevision,
+StoreFollower::OnPeerPosition(StorePosition aPeerPosition,
                               const net::Address& aPeer,
                               bool aSameZone)
 {
-  if (this->catchingUp || this->needsFullList || aPeerRevision <= this->newestChange ||
-      aPeerRevision <= this->replica.UpTo()) {
+  if (this->catchingUp || !this->IsInitialized() || aPeerPosition <= this->newestChange ||
+      aPeerPosition <= this->replica.UpTo()) {
     return;
   }
   this->catchingUp = true;
   const auto delay =
     this->duty.isWatcher ? kOwnWatchDelay : (aSameZone ? milliseconds(0) : kCrossZoneDelay);
-  Spawn(this->context, "catch up", [this, aPeerRevision, aPeer, delay]() -> Task<void> {
+  Spawn(this->context, "catch up", [this, aPeerPosition, aPeer, delay]() -> Task<void> {
     // Also reset if an exception ends the attempt, so that the next one can start.
     const std::shared_ptr<bool> reset(&this->catchingUp, [](bool* aFlag) { *aFlag = false; });
-    co_await this->CatchUp(aPeerRevision, aPeer, delay);
+    co_await this->CatchUp(aPeerPosition, aPeer, delay);
   });
 }
 
 Task<bool>
 StoreFollower::FetchFromPeer(net::Address aPeer)
 {
-  std::string path = ChangesPath(this->prefix) + std::to_string(this->replica.UpTo().Number());
+  std::string path = ChangesPath(this->prefix) + FormatPosition(this->replica.UpTo());
   SimpleRequest request{ aPeer, "GET", std::move(path), {}, "", kPeerTimeout, true };
   const auto answer = co_await SendSimpleRequest(this->pool, std::move(request));
   const auto read = ParseChanges(answer);
@@ -235,16 +270,16 @@
 }
 
 Task<void>
-StoreFollower::CatchUp(core::Revision aPeerRevision, net::Address aPeer, milliseconds aDelay)
+StoreFollower::CatchUp(StorePosition aPeerPosition, net::Address aPeer, milliseconds aDelay)
 {
   if (aDelay.count() > 0) {
     co_await SleepFor(aDelay);
   }
-  if (this->replica.UpTo() >= aPeerRevision) {
+  if (this->replica.UpTo() >= aPeerPosition) {
     co_return;
   }
   co_await this->FetchFromPeer(std::move(aPeer));
-  if (this->replica.UpTo() >= aPeerRevision) {
+  if (this->replica.UpTo() >= aPeerPosition) {
     co_return;
   }
   const auto items = co_await this->store.List(this->prefix, Freshness::kNewest);
@@ -256,7 +291,7 @@
 }
 
 ReplicaChanges
-StoreFollower::ChangesAfter(core::Revision aAfter) const
+StoreFollower::ChangesAfter(StorePosition aAfter) const
 {
   ReplicaChanges changes = this->replica.ChangesAfter(aAfter);
   if (this->outageAt.has_value()) {
@@ -281,10 +316,8 @@
       if (!aRequest.target.starts_with(pathPrefix) || !follower->IsInitialized()) {
         continue;
       }
-      std::uint64_t after = 0;
-      const std::string_view number = std::string_view(aRequest.target).substr(pathPrefix.size());
-      std::from_chars(number.data(), number.data() + number.size(), after);
-      body = EncodeChanges(follower->ChangesAfter(core::Revision(after)));
+      const auto after = ParsePosition(std::string_view(aRequest.target).substr(pathPrefix.size()));
+      body = EncodeChanges(follower->ChangesAfter(after));
       status = kOk;
     }
     HeaderList headers;
--- a/src/serving/store_follower.hpp
+++ b/src/serving/store_follower.hpp
@@ -54,30 +54,30 @@
   /// @brief Sets whether the instance watches the store itself, from the next call on.
   void SetDuty(const WatchDuty& aDuty) { this->duty = aDuty; }
 
-  /// @brief Handles the revision that a peer reports; fetches missing changes from the peer unless
+  /// @brief Handles the position that a peer reports; fetches missing changes from the peer unless
   ///        they arrive by this instance's own watch.
   /// @param aSameZone  whether the peer is in this instance's availability zone
-  void OnPeerRevision(core::Revision aPeerRevision, const net::Address& aPeer, bool aSameZone);
+  void OnPeerPosition(StorePosition aPeerPosition, const net::Address& aPeer, bool aSameZone);
 
   /// @brief Returns whether this instance watches the store, and its watch is neither failing nor
   ///        overdue.
   bool IsWatchHealthy() const;
 
-  /// @brief Returns whether the full list has been read.
-  bool IsInitialized() const { return !this->needsFullList; }
+  /// @brief Returns whether a full list has been read.
+  bool IsInitialized() const { return this->replica.UpTo() != StorePosition{}; }
 
   /// @brief Returns the changes that a peer is missing.
-  /// @param aAfter  revision up to which the peer is complete
-  ReplicaChanges ChangesAfter(core::Revision aAfter) const;
+  /// @param aAfter  position up to which the peer is complete
+  ReplicaChanges ChangesAfter(StorePosition aAfter) const;
 
   /// @brief Returns the followed prefix.
   const std::string& Prefix() const { return this->prefix; }
 
 private:
   Task<bool> ReadStore();
-  Task<void> CatchUp(core::Revision aPeerRevision, net::Address aPeer, milliseconds aDelay);
+  Task<void> CatchUp(StorePosition aPeerPosition, net::Address aPeer, milliseconds aDelay);
   Task<bool> FetchFromPeer(net::Address aPeer);
-  void ApplyChanges(const StoreItems& aItems,
+  bool ApplyChanges(const StoreItems& aItems,
                     bool aIsSnapshot,
                     ChangeOrigin aOrigin,
                     std::optional<core::MonotonicTime> aOutageAt);
@@ -94,10 +94,8 @@
   core::RandomSource random;
   WatchDuty duty;
   Replica replica;
-  /// @brief Era of the last response of the store.
-  StoreEra era;
-  /// @brief Highest revision of an applied change.
-  core::Revision newestChange;
+  /// @brief Latest position of an applied change.
+  StorePosition newestChange;
   bool needsFullList = true;
   bool storeReachable = false;
   bool outageLogged = false;
--- a/src/serving/watch_duty.cpp
+++ b/src/serving/watch_duty.cpp
@@ -47,7 +47,7 @@
   core::MonotonicTime latest = aSelf.confirmedAt;
   for (const PeerState& peer : aPeers) {
     const bool hasNoNewerData =
-      peer.configRevision <= aSelf.configRevision && peer.targetsRevision <= aSelf.targetsRevision;
+      peer.configPosition <= aSelf.configPosition && peer.targetsPosition <= aSelf.targetsPosition;
     if (hasNoNewerData && IsAlive(peer, aNow)) {
       latest = std::max(latest, std::min(peer.confirmedAt, peer.lastMessageAt));
     }
--- a/tests/fakes/wire_store.cpp
+++ b/tests/fakes/wire_store.cpp
@@ -106,6 +106,30 @@
   this->mode = aMode;
 }
 
+WireStore::Copy
+WireStore::MakeCopy() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return { this->items, this->revision, this->nextLease };
+}
+
+void
+WireStore::Restore(const Copy& aCopy)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->items = aCopy.items;
+  this->revision = aCopy.revision;
+  this->nextLease = aCopy.nextLease;
+  ++this->era;
+}
+
+serving::HeaderList
+WireStore::ResponseHeaders() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return { { "Store-Era", std::to_string(this->era) } };
+}
+
 void
 WireStore::CompactHistory()
 {
@@ -200,7 +224,8 @@
     return { 200, json{ { "lease", this->nextLease++ }, { "ttlMs", 3'000 } }.dump() };
   }
   if (path.starts_with("/plantainslip/kv-keep/")) {
-    return { 200, json{ { "ttlMs", 3'000 } }.dump() };
+    const std::uint64_t lease = std::stoull(path.substr(path.rfind('/') + 1));
+    return { lease < this->nextLease ? 200 : 404, json{ { "ttlMs", 3'000 } }.dump() };
   }
   return { 404, "" };
 }
@@ -212,18 +237,20 @@
   const std::uint64_t after = std::stoull(QueryParameter(aTarget, "after"));
   const auto deadline =
     this->clock.Now() + std::chrono::milliseconds(std::stoll(QueryParameter(aTarget, "waitMs")));
+  std::uint64_t eraAtStart = 0;
   {
     const std::scoped_lock lock(this->mutex);
     ++this->watchCounts[prefix];
+    eraAtStart = this->era;
   }
   int status = 200;
   std::string body;
   while (body.empty() && status == 200) {
     {
       const std::scoped_lock lock(this->mutex);
-      if (this->mode != Mode::kAvailable) {
+      if (this->mode != Mode::kAvailable || this->era != eraAtStart) {
         status = 503;
-      } else if (after < this->compactedRevision) {
+      } else if (after < this->compactedRevision || after > this->revision) {
         status = 410;
       } else {
         body = this->ListChanges(prefix, after);
@@ -236,7 +263,8 @@
       co_await Pause(kPollInterval);
     }
   }
-  co_await aWriter.WriteWhole(status, serving::HeaderList(), std::move(body));
+  serving::HeaderList headers = this->ResponseHeaders();
+  co_await aWriter.WriteWhole(status, std::move(headers), std::move(body));
 }
 
 Task<void>
@@ -257,7 +285,8 @@
     co_return;
   }
   std::pair<int, std::string> response = this->HandleCall(aRequest);
-  co_await aWriter.WriteWhole(response.first, serving::HeaderList(), std::move(response.second));
+  serving::HeaderList headers = this->ResponseHeaders();
+  co_await aWriter.WriteWhole(response.first, std::move(headers), std::move(response.second));
 }
 
 } // namespace plantainslip::fakes
--- a/tests/fakes/wire_store.hpp
+++ b/tests/fakes/wire_store.hpp
@@ -50,6 +50,16 @@
   /// @brief Sets how the store responds from now on, also to calls that are waiting.
   void SetMode(Mode aMode);
 
+  /// @brief The store's data at some time.
+  struct Copy;
+
+  /// @brief Copies the data.
+  Copy MakeCopy() const;
+
+  /// @brief Goes back to a copy: revisions and lease ids are given out again, waiting watches are
+  ///        cut, and the era grows by one.
+  void Restore(const Copy& aCopy);
+
   /// @brief Compacts the history: watches that start before the current revision get 410.
   void CompactHistory();
 
@@ -63,11 +73,21 @@
     bool removed = false;
   };
 
+public:
+  struct Copy
+  {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+    std::uint64_t nextLease = 0;
+  };
+
+private:
   serving::Task<void> Serve(const serving::CallerRequest& aRequest, serving::AnswerWriter& aWriter);
   serving::Task<void> ServeWatch(const std::string& aTarget, serving::AnswerWriter& aWriter);
   std::pair<int, std::string> HandleCall(const serving::CallerRequest& aRequest);
   std::string ListItems(const std::string& aTarget) const;
   std::string ListChanges(const std::string& aPrefix, std::uint64_t aAfter) const;
+  serving::HeaderList ResponseHeaders() const;
   std::pair<int, std::string> CommitTransaction(const std::string& aBody);
   void ApplyChange(const std::string& aKey, Item aItem);
 
@@ -76,6 +96,7 @@
   std::uint64_t revision = 1;
   std::uint64_t compactedRevision = 0;
   std::uint64_t nextLease = 1;
+  std::uint64_t era = 1;
   std::map<std::string, std::size_t> watchCounts;
   Mode mode = Mode::kAvailable;
   serving::asio::io_context& context;
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -209,7 +209,7 @@
 }
 
 void
-WireFleet::Configure(std::uint64_t aVersion)
+WireFleet::Configure(std::uint64_t aVersion, const std::string& aAdded)
 {
   json quote = MakeRoute("quote", "stream", "models");
   json note = MakeRoute("note", "stream", "models");
@@ -217,9 +217,13 @@
   note["allowResume"] = true;
   json look = MakeRoute("look", "safe", "desk");
   look["attempts"] = 2;
+  json routes = json::array({ quote, note, MakeRoute("pay", "unsafe", "desk"), look });
+  if (!aAdded.empty()) {
+    routes.push_back(MakeRoute(aAdded, "safe", "desk"));
+  }
   const json config = {
     { "version", aVersion },
-    { "routes", json::array({ quote, note, MakeRoute("pay", "unsafe", "desk"), look }) },
+    { "routes", std::move(routes) },
     { "services",
       json::array({ { { "name", "models" },
                       { "maxConnections", 100 },
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -62,7 +62,8 @@
   /// @brief Writes a configuration with the routes `/quote/` (stream, one target), `/note/`
   ///        (resumable stream, two targets), `/pay/` (at most once) and `/look/` (idempotent, two
   ///        targets).
-  void Configure(std::uint64_t aVersion);
+  /// @param aAdded  name of a further route of the kind of `/look/`, if any
+  void Configure(std::uint64_t aVersion, const std::string& aAdded = "");
 
   /// @brief Starts an instance of the gateway.
   /// @param aAwaitReady  whether to wait until it is ready
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -13,12 +13,18 @@
 
 namespace {
 
+StorePosition
+At(std::uint64_t aRevision, std::uint64_t aEra = 1)
+{
+  return { StoreEra(aEra), core::Revision(aRevision) };
+}
+
 DirectoryChange
 Entry(const std::string& aId, std::uint64_t aRevision, bool aLeaving = false)
 {
   DirectoryChange change;
   change.id = core::TargetId(aId);
-  change.revision = core::Revision(aRevision);
+  change.position = At(aRevision);
   change.target.emplace();
   change.target->id = change.id;
   change.target->leaving = aLeaving;
@@ -30,7 +36,7 @@
 {
   DirectoryChange change;
   change.id = core::TargetId(aId);
-  change.revision = core::Revision(aRevision);
+  change.position = At(aRevision);
   change.removed = true;
   return change;
 }
@@ -67,7 +73,7 @@
   SUBCASE("a full list removes missing targets except those with a newer revision")
   {
     directory.Apply(Entry("new", 9), now);
-    directory.ApplyAll({}, core::Revision(8), now);
+    directory.ApplyAll({}, At(8), now);
     CHECK_FALSE(directory.Targets().contains(target));
     CHECK(directory.Targets().contains(core::TargetId("new")));
   }
@@ -131,6 +137,20 @@
   }
 }
 
+TEST_CASE("after the store comes back from a copy, revisions that are given out again are new")
+{
+  Directory directory;
+  const core::MonotonicTime now{};
+  directory.ApplyAll({ Entry("t", 5) }, At(9), now);
+  DirectoryChange listed = Entry("t", 4);
+  listed.position = At(4, 2);
+  directory.ApplyAll({ listed }, At(4, 2), now);
+  DirectoryChange leaving = Entry("t", 5, true);
+  leaving.position = At(5, 2);
+  CHECK(directory.Apply(leaving, now));
+  CHECK(directory.Targets().at(core::TargetId("t")).leaving);
+}
+
 TEST_CASE("only complete events are passed on")
 {
   EventStream events;
@@ -182,8 +202,8 @@
   PeerMessage message;
   message.sender = core::InstanceId("one");
   message.sequence = 9;
-  message.configRevision = core::Revision(3);
-  message.targetsRevision = core::Revision(4);
+  message.configPosition = At(3);
+  message.targetsPosition = At(4);
   TargetLoad load;
   load.requests = 2.0;
   load.prefillTokens[4] = 1'234.0;
@@ -201,7 +221,7 @@
   REQUIRE(read.ok());
   CHECK(read->sender == message.sender);
   CHECK(read->sequence == 9);
-  CHECK(read->targetsRevision == core::Revision(4));
+  CHECK(read->targetsPosition == At(4));
   CHECK(read->loads == message.loads);
   CHECK(read->zone == message.zone);
   CHECK(read->linkMbps == 200.0);
--- a/tests/src/unit-watch-duty.cpp
+++ b/tests/src/unit-watch-duty.cpp
@@ -15,6 +15,12 @@
 
 const core::MonotonicTime kNow = core::MonotonicTime(1h);
 
+StorePosition
+At(std::uint64_t aRevision, std::uint64_t aEra = 1)
+{
+  return { StoreEra(aEra), core::Revision(aRevision) };
+}
+
 PeerState
 Peer(const std::string& aId, const std::string& aZone, double aLinkMbps = 10.0)
 {
@@ -24,18 +30,21 @@
   peer.linkMbps = aLinkMbps;
   peer.lastMessageAt = kNow;
   peer.confirmedAt = kNow - 500ms;
-  peer.configRevision = core::Revision(7);
-  peer.targetsRevision = core::Revision(9);
+  peer.configPosition = At(7);
+  peer.targetsPosition = At(9);
   return peer;
 }
 
 StoreItem
-Item(const std::string& aKey, std::uint64_t aRevision, bool aRemoved = false)
+Item(const std::string& aKey,
+     std::uint64_t aRevision,
+     bool aRemoved = false,
+     std::uint64_t aEra = 1)
 {
   StoreItem item;
   item.key = aKey;
   item.value = aRemoved ? "" : "value of " + std::to_string(aRevision);
-  item.revision = core::Revision(aRevision);
+  item.position = At(aRevision, aEra);
   item.removed = aRemoved;
   return item;
 }
@@ -124,10 +133,10 @@
   }
   SUBCASE("is ignored by an instance that lacks a newer configuration or target revision")
   {
-    peers[0].configRevision = core::Revision(8);
+    peers[0].configPosition = At(8);
     CHECK(LatestPeerConfirmation(self, peers, kNow) == self.confirmedAt);
-    peers[0].configRevision = core::Revision(7);
-    peers[0].targetsRevision = core::Revision(10);
+    peers[0].configPosition = At(7);
+    peers[0].targetsPosition = At(10);
     CHECK(LatestPeerConfirmation(self, peers, kNow) == self.confirmedAt);
   }
   SUBCASE("is ignored when the peer no longer sends messages")
@@ -140,57 +149,96 @@
 TEST_CASE("a replica returns the changes that a reader is missing")
 {
   Replica replica;
-  replica.Apply({ { Item("a", 3), Item("b", 5) }, core::Revision(6) }, true);
+  replica.Apply({ { Item("a", 3), Item("b", 5) }, At(6) }, true);
   SUBCASE("only changes after the reader's revision")
   {
-    replica.Apply({ { Item("c", 8) }, core::Revision(8) }, false);
-    const ReplicaChanges changes = replica.ChangesAfter(core::Revision(6));
+    replica.Apply({ { Item("c", 8) }, At(8) }, false);
+    const ReplicaChanges changes = replica.ChangesAfter(At(6));
     CHECK_FALSE(changes.isSnapshot);
     REQUIRE(changes.changes.items.size() == 1);
     CHECK(changes.changes.items.front().key == "c");
-    CHECK(changes.changes.upTo == core::Revision(8));
+    CHECK(changes.changes.upTo == At(8));
   }
   SUBCASE("including removals")
   {
-    replica.Apply({ { Item("a", 8, true) }, core::Revision(8) }, false);
-    const ReplicaChanges changes = replica.ChangesAfter(core::Revision(6));
+    replica.Apply({ { Item("a", 8, true) }, At(8) }, false);
+    const ReplicaChanges changes = replica.ChangesAfter(At(6));
     REQUIRE(changes.changes.items.size() == 1);
     CHECK(changes.changes.items.front().removed);
   }
   SUBCASE("including the removal of keys that are missing from a later full list")
   {
-    replica.Apply({ { Item("b", 5) }, core::Revision(9) }, true);
-    const ReplicaChanges changes = replica.ChangesAfter(core::Revision(6));
+    replica.Apply({ { Item("b", 5) }, At(9) }, true);
+    const ReplicaChanges changes = replica.ChangesAfter(At(6));
     REQUIRE(changes.changes.items.size() == 1);
     CHECK(changes.changes.items.front().key == "a");
     CHECK(changes.changes.items.front().removed);
   }
   SUBCASE("a full list for a reader whose revision is older than the first list")
   {
-    const ReplicaChanges changes = replica.ChangesAfter(core::Revision(4));
+    const ReplicaChanges changes = replica.ChangesAfter(At(4));
     CHECK(changes.isSnapshot);
     CHECK(changes.changes.items.size() == 2);
   }
   SUBCASE("without removals by an older full list that arrives late")
   {
-    replica.Apply({ { Item("c", 8) }, core::Revision(8) }, false);
-    replica.Apply({ { Item("a", 3) }, core::Revision(7) }, true);
-    CHECK(replica.ChangesAfter(core::Revision(0)).changes.items.size() == 3);
+    replica.Apply({ { Item("c", 8) }, At(8) }, false);
+    replica.Apply({ { Item("a", 3) }, At(7) }, true);
+    CHECK(replica.ChangesAfter(At(0)).changes.items.size() == 3);
   }
 }
 
+TEST_CASE("after the store comes back from a copy, revisions that are given out again are new")
+{
+  Replica replica;
+  replica.Apply({ { Item("a", 3), Item("b", 8) }, At(9) }, true);
+  SUBCASE("a full list of the new era replaces the copy, although its revision is lower")
+  {
+    CHECK(replica.Apply({ { Item("a", 3, false, 2) }, At(5, 2) }, true));
+    CHECK(replica.UpTo() == At(5, 2));
+    CHECK(replica.Apply({ { Item("b", 8, false, 2) }, At(8, 2) }, false));
+    const ReplicaChanges changes = replica.ChangesAfter(At(5, 2));
+    CHECK_FALSE(changes.isSnapshot);
+    REQUIRE(changes.changes.items.size() == 1);
+    CHECK(changes.changes.items.front().key == "b");
+  }
+  SUBCASE("a reader of the earlier era gets a full list, whatever its revision")
+  {
+    replica.Apply({ { Item("a", 3, false, 2) }, At(5, 2) }, true);
+    for (const std::uint64_t revision : { 2U, 5U, 9U, 50U }) {
+      const ReplicaChanges changes = replica.ChangesAfter(At(revision));
+      CHECK(changes.isSnapshot);
+      CHECK(changes.changes.items.size() == 1);
+    }
+  }
+  SUBCASE("changes of another era are applied only after its full list")
+  {
+    CHECK_FALSE(replica.Apply({ { Item("a", 10, false, 2) }, At(10, 2) }, false));
+    replica.Apply({ { Item("a", 3, false, 2) }, At(5, 2) }, true);
+    CHECK_FALSE(replica.Apply({ { Item("b", 10) }, At(10) }, false));
+    CHECK_FALSE(replica.Apply({ { Item("b", 10) }, At(10) }, true));
+    CHECK(replica.ChangesAfter({}).changes.items.size() == 1);
+  }
+}
+
+TEST_CASE("fencing tokens grow with every holder, also after the store comes back from a copy")
+{
+  CHECK(FencingTokenAt(At(8)) < FencingTokenAt(At(9)));
+  CHECK(FencingTokenAt(At(1'000'000'000)) < FencingTokenAt(At(5, 2)));
+}
+
 TEST_CASE("a reader that applies a replica's changes has the same keys and values as the store")
 {
   rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& aChanges, std::uint8_t aReadAt) {
     Replica replica;
-    replica.Apply({ {}, core::Revision(1) }, true);
+    replica.Apply({ {}, At(1) }, true);
     std::map<std::string, std::string> stored;
     std::map<std::string, std::string> known;
-    core::Revision readUpTo;
+    StorePosition readUpTo;
     std::uint64_t revision = 1;
     for (const auto& [key, removed] : aChanges) {
       const StoreItem item = Item(std::to_string(key % 4), ++revision, removed);
-      replica.Apply({ { item }, core::Revision(revision) }, false);
+      replica.Apply({ { item }, At(revision) }, false);
       if (removed) {
         stored.erase(item.key);
       } else {
@@ -209,12 +257,12 @@
 TEST_CASE("changes survive encoding and decoding")
 {
   ReplicaChanges changes;
-  changes.changes = { { Item("op/x", 3), Item("gone", 4, true) }, core::Revision(4) };
+  changes.changes = { { Item("op/x", 3), Item("gone", 4, true) }, At(4) };
   changes.changes.items.front().value = std::string("\0\xff raw", 6);
   changes.sinceOutage = 250ms;
   const auto read = DecodeChanges(EncodeChanges(changes));
   REQUIRE(read.ok());
-  CHECK(read->changes.upTo == core::Revision(4));
+  CHECK(read->changes.upTo == At(4));
   CHECK(read->sinceOutage == changes.sinceOutage);
   REQUIRE(read->changes.items.size() == 2);
   CHECK(read->changes.items[0].value == changes.changes.items[0].value);
