Do not use targets again that an older copy of the store lists as usable

What callers would see: failures, and requests to targets that had said that they were leaving, in the seconds after the store comes back from a copy made before they left.

Entries that were gone stay listed until their lease ends once more, and a leaving target's says `ready` again.

Change: the directory remembers for each process that it was leaving, which no process takes back, or that its entry was removed; such an entry of the copy is used only once it was written again in the new era or has outlived the lease of a process that has ended. Targets that the copy lacks, as they registered later, are kept for the grace period of an outage. The heartbeat interval is read from the settings.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -166,6 +166,7 @@
   serving::ControlOptions options;
   options.self = self;
   options.linkMbps = this->settings.linkMbps;
+  options.targetHeartbeat = this->settings.targetHeartbeat;
   options.leaseDuration = this->settings.orderLeaseDuration;
   options.initialDecodeShare = this->ownOptions.initialDecodeShare;
   options.stageChangeCosts = this->ownOptions.stageChangeCosts;
--- a/include/plantainslip/serving/directory.hpp
+++ b/include/plantainslip/serving/directory.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include <plantainslip/serving/fleet.hpp>
+#include <plantainslip/serving/target_notices.hpp>
 
 namespace plantainslip::serving {
 
@@ -27,6 +27,10 @@
 /// that is removed shortly after an outage is kept for a grace period. A change with an older
 /// position never replaces a newer one. A target is dropped as soon as a process that started later
 /// uses its address, even if its entry has not expired yet.
+///
+/// After the store came back from a copy, the entries in it may be older than those known. A
+/// process that was leaving stays so, and one whose entry was removed is used again only once its
+/// entry has outlived the time in which that of a process that has ended expires.
 class Directory
 {
 public:
@@ -35,6 +39,18 @@
   /// @brief How long an entry is kept whose removal is assumed to be an expired lease; shorter than
   ///        the time within which a leaving target must get no new work.
   static constexpr milliseconds kLapseGracePeriod{ 1'900 };
+  /// @brief Heartbeat intervals after which the entry of a process that has ended is gone: the
+  /// store
+  ///        keeps it for three, and the removal takes time to arrive.
+  static constexpr int kEntryLifetimeHeartbeats = 4;
+  /// @brief Maximum number of processes that are remembered as leaving or gone.
+  static constexpr std::size_t kMaxDepartures = 4'096;
+
+  /// @param aHeartbeat  interval at which targets renew their entries
+  explicit Directory(milliseconds aHeartbeat)
+    : entryLifetime(aHeartbeat * kEntryLifetimeHeartbeats)
+  {
+  }
 
   /// @brief Records a failed store call of this instance, or of the peer that sent a change.
   void RecordOutage(core::MonotonicTime aAt)
@@ -54,21 +70,44 @@
                 core::MonotonicTime aNow);
 
   /// @brief Removes entries that were kept after an assumed lease expiry, once their grace period
-  ///        ends.
+  ///        ends, and uses those that turned out not to be leftovers of a copy.
   /// @return true if the usable targets have changed
-  bool RemoveLapsed(core::MonotonicTime aNow);
+  bool ApplyDeadlines(core::MonotonicTime aNow);
 
   /// @brief Returns the usable targets.
   const std::map<core::TargetId, Target>& Targets() const { return this->targets; }
 
 private:
-  bool Remove(const core::TargetId& aId, core::MonotonicTime aNow);
+  /// @brief How a process was last known to go.
+  struct Departure
+  {
+    /// @brief Whether its entry said that it was leaving, which no process takes back.
+    bool announced = false;
+    StorePosition position;
+  };
+  /// @brief Entry of a process that was gone before the store came back from a copy.
+  struct Leftover
+  {
+    Target target;
+    core::MonotonicTime usableFrom;
+  };
+
+  bool Remove(const core::TargetId& aId, StorePosition aPosition, core::MonotonicTime aNow);
+  bool Use(Target aTarget);
+  void RecordDeparture(const Target& aTarget, StorePosition aPosition);
+  bool IsLeftover(const Target& aTarget, StorePosition aPosition) const;
   bool IsSuperseded(const Target& aTarget) const;
   void RemoveSuperseded(const Target& aReplacement);
 
+  milliseconds entryLifetime;
   std::map<core::TargetId, Target> targets;
   std::map<core::TargetId, StorePosition> positions;
   std::map<core::TargetId, core::MonotonicTime> graceDeadlines;
+  std::map<TargetProcess, Departure> departures;
+  std::map<core::TargetId, Leftover> leftovers;
+  /// @brief Position of the first full list of the present era; changes up to it may come from the
+  ///        copy.
+  StorePosition eraListedUpTo;
   std::optional<core::MonotonicTime> outageAt;
 };
 
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds kInitialPeerReadInterval{ 1'000 };
 constexpr milliseconds kWatcherPeerReadInterval{ 4'000 };
 constexpr milliseconds kPeerReadInterval{ 20'000 };
-constexpr milliseconds kLapseCheckInterval{ 200 };
+constexpr milliseconds kDeadlineCheckInterval{ 200 };
 /// Changes come in bursts and each store call costs; configurations and targets may both take
 /// seconds to be in force.
 constexpr milliseconds kConfigBatchDelay{ 150 };
@@ -69,6 +69,7 @@
                    aCodec.TargetPrefix(),
                    kTargetBatchDelay,
                    [this](const FollowedChanges& aChanges) { this->ApplyTargets(aChanges); })
+  , directory(this->options.targetHeartbeat)
 {
 }
 
@@ -90,7 +91,7 @@
   run("follow targets", [this] { return this->targetFollower.Run(); });
   run("maintain own entry", [this] { return this->MaintainEntry(); });
   run("read peers", [this] { return this->ReadPeers(); });
-  run("remove lapsed targets", [this] { return this->RemoveLapsedTargets(); });
+  run("apply target deadlines", [this] { return this->ApplyTargetDeadlines(); });
   run("lead", [this] { return this->LeadershipLoop(); });
   return absl::OkStatus();
 }
@@ -247,11 +248,11 @@
 }
 
 Task<void>
-Control::RemoveLapsedTargets()
+Control::ApplyTargetDeadlines()
 {
   while (true) {
-    co_await SleepFor(kLapseCheckInterval);
-    if (this->directory.RemoveLapsed(this->clock.Now())) {
+    co_await SleepFor(kDeadlineCheckInterval);
+    if (this->directory.ApplyDeadlines(this->clock.Now())) {
       this->PublishUpdate();
     }
   }
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -50,6 +50,8 @@
   double linkMbps = 0.0;
   /// @brief Duration of the lease whose holder may send orders.
   milliseconds leaseDuration{ 3'000 };
+  /// @brief Interval at which targets renew their directory entries.
+  milliseconds targetHeartbeat{ 0 };
   /// @brief Share of a service's engines that decode until its demand is known; by the batch slots
   ///        if not set.
   std::optional<double> initialDecodeShare;
@@ -91,7 +93,7 @@
   Task<void> MaintainEntry();
   Task<bool> EnsureEntry();
   Task<void> ReadPeers();
-  Task<void> RemoveLapsedTargets();
+  Task<void> ApplyTargetDeadlines();
   Task<void> LeadershipLoop();
   Task<void> TryAcquireLease();
   Task<void> RenewLease();
--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace plantainslip::serving {
 
@@ -18,12 +19,39 @@
 
 } // namespace
 
+void
+Directory::RecordDeparture(const Target& aTarget, StorePosition aPosition)
+{
+  Departure& departure = this->departures[ProcessOf(aTarget)];
+  departure.announced = departure.announced || aTarget.leaving;
+  departure.position = aPosition;
+  if (this->departures.size() > kMaxDepartures) {
+    this->departures.erase(std::min_element(
+      this->departures.begin(), this->departures.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.position < aRight.second.position;
+      }));
+  }
+}
+
+// Whether an entry of the copy that the store came back from may describe a process that has gone
+// since the copy was made.
 bool
-Directory::Remove(const core::TargetId& aId, core::MonotonicTime aNow)
+Directory::IsLeftover(const Target& aTarget, StorePosition aPosition) const
 {
-  if (!this->targets.contains(aId)) {
+  const auto departure = this->departures.find(ProcessOf(aTarget));
+  return departure != this->departures.end() && departure->second.position.era < aPosition.era &&
+         aPosition <= this->eraListedUpTo;
+}
+
+bool
+Directory::Remove(const core::TargetId& aId, StorePosition aPosition, core::MonotonicTime aNow)
+{
+  this->leftovers.erase(aId);
+  const auto found = this->targets.find(aId);
+  if (found == this->targets.end()) {
     return false;
   }
+  this->RecordDeparture(found->second, aPosition);
   if (this->outageAt.has_value() && aNow - *this->outageAt <= kOutageWindow) {
     this->graceDeadlines.try_emplace(aId, aNow + kLapseGracePeriod);
     return false;
@@ -31,7 +59,8 @@
   if (this->graceDeadlines.contains(aId)) {
     return false;
   }
-  return this->targets.erase(aId) > 0;
+  this->targets.erase(found);
+  return true;
 }
 
 bool
@@ -54,6 +83,22 @@
   });
 }
 
+// Lists a target as usable or leaving, in place of those that it supersedes.
+bool
+Directory::Use(Target aTarget)
+{
+  const auto found = this->targets.find(aTarget.id);
+  if (found != this->targets.end() && found->second == aTarget) {
+    return false;
+  }
+  if (this->IsSuperseded(aTarget)) {
+    return this->targets.erase(aTarget.id) > 0;
+  }
+  this->RemoveSuperseded(aTarget);
+  this->targets.insert_or_assign(aTarget.id, std::move(aTarget));
+  return true;
+}
+
 bool
 Directory::Apply(const DirectoryChange& aChange, core::MonotonicTime aNow)
 {
@@ -61,24 +106,31 @@
   if (aChange.position <= known) {
     return false;
   }
-  known = aChange.position;
+  const StorePosition previous = std::exchange(known, aChange.position);
   if (aChange.removed) {
-    return this->Remove(aChange.id, aNow);
+    return this->Remove(aChange.id, aChange.position, aNow);
   }
   this->graceDeadlines.erase(aChange.id);
+  this->leftovers.erase(aChange.id);
   if (!aChange.target.has_value()) {
     return this->targets.erase(aChange.id) > 0;
   }
-  const auto found = this->targets.find(aChange.id);
-  if (found != this->targets.end() && found->second == *aChange.target) {
-    return false;
-  }
-  if (this->IsSuperseded(*aChange.target)) {
+  Target target = *aChange.target;
+  const auto departure = this->departures.find(ProcessOf(target));
+  if (departure != this->departures.end() && departure->second.announced) {
+    // Without a start time, a restart under the same id looks like the same process.
+    target.leaving =
+      target.leaving || target.startedAt != 0 || previous.era != aChange.position.era;
+  } else if (this->IsLeftover(target, aChange.position)) {
+    this->leftovers[aChange.id] = { std::move(target), aNow + this->entryLifetime };
     return this->targets.erase(aChange.id) > 0;
+  } else if (departure != this->departures.end()) {
+    this->departures.erase(departure);
   }
-  this->RemoveSuperseded(*aChange.target);
-  this->targets.insert_or_assign(aChange.id, *aChange.target);
-  return true;
+  if (target.leaving) {
+    this->RecordDeparture(target, aChange.position);
+  }
+  return this->Use(std::move(target));
 }
 
 bool
@@ -86,6 +138,13 @@
                     StorePosition aUpTo,
                     core::MonotonicTime aNow)
 {
+  if (aUpTo.era > this->eraListedUpTo.era) {
+    if (this->eraListedUpTo != StorePosition{}) {
+      // Targets that registered after the copy was made are missing from it until they write again.
+      this->RecordOutage(aNow);
+    }
+    this->eraListedUpTo = aUpTo;
+  }
   bool changed = false;
   std::set<core::TargetId> listed;
   for (const DirectoryChange& entry : aEntries) {
@@ -99,13 +158,16 @@
     }
   }
   for (const core::TargetId& id : missing) {
-    changed = this->Remove(id, aNow) || changed;
+    changed = this->Remove(id, aUpTo, aNow) || changed;
   }
+  std::erase_if(this->leftovers, [&](const auto& aEntry) {
+    return !listed.contains(aEntry.first) && this->positions[aEntry.first] <= aUpTo;
+  });
   return changed;
 }
 
 bool
-Directory::RemoveLapsed(core::MonotonicTime aNow)
+Directory::ApplyDeadlines(core::MonotonicTime aNow)
 {
   bool changed = false;
   std::erase_if(this->graceDeadlines, [&](const auto& aEntry) {
@@ -113,6 +175,11 @@
     changed = (expired && this->targets.erase(aEntry.first) > 0) || changed;
     return expired;
   });
+  std::erase_if(this->leftovers, [&](const auto& aEntry) {
+    const bool alive = aNow >= aEntry.second.usableFrom;
+    changed = (alive && this->Use(aEntry.second.target)) || changed;
+    return alive;
+  });
   return changed;
 }
 
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -253,6 +253,7 @@
     { "node", name },
     { "zone", "a" },
     { "ip", "127.0.0.1" },
+    { "heartbeatMs", 1'200 },
     { "listen", { { "front", this->callers.Text() }, { "ready", this->readiness.Text() } } },
     { "internalPorts", { internalPort, internalPort + 1 } },
     { "platform", { { "address", this->store->Address().Text() } } },
--- a/tests/src/process-restored-store.cpp
+++ b/tests/src/process-restored-store.cpp
@@ -110,6 +110,25 @@
   }
 }
 
+TEST_CASE("an instance does not go back to what an older copy of the store says")
+{
+  RestorableFleet restorable;
+  const WireStore::Copy copy = restorable.fleet.Store().MakeCopy();
+  restorable.fleet.Configure(5, "added");
+  restorable.fleet.WriteEntry(restorable.deskA, "desk", "", "draining");
+  std::this_thread::sleep_for(kChangeBound);
+  const std::size_t before = restorable.deskA.Received().size();
+  restorable.ComeBackFrom(copy);
+  const auto end = std::chrono::steady_clock::now() + 3s;
+  while (std::chrono::steady_clock::now() < end) {
+    for (const net::Address& address : restorable.callers) {
+      CHECK(restorable.Look(address, "/added/x") == 200);
+    }
+    std::this_thread::sleep_for(50ms);
+  }
+  CHECK(restorable.deskA.Received().size() == before);
+}
+
 TEST_CASE("what the instances wrote is written again after the store comes back from a copy")
 {
   WireFleet fleet;
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr milliseconds kHeartbeat{ 1'200 };
+
 StorePosition
 At(std::uint64_t aRevision, std::uint64_t aEra = 1)
 {
@@ -45,7 +47,7 @@
 
 TEST_CASE("the directory applies only changes with a newer revision")
 {
-  Directory directory;
+  Directory directory(kHeartbeat);
   core::MonotonicTime now{};
   const core::TargetId target("t");
   CHECK(directory.Apply(Entry("t", 5), now));
@@ -81,7 +83,7 @@
 
 TEST_CASE("a target is dropped when a later process uses its address")
 {
-  Directory directory;
+  Directory directory(kHeartbeat);
   const core::MonotonicTime now{};
   const auto at = [](const char* aId, std::uint64_t aRevision, std::uint64_t aStartedAt) {
     DirectoryChange change = Entry(aId, aRevision);
@@ -110,7 +112,7 @@
 
 TEST_CASE("entries that are removed shortly after a store outage are kept for a grace period")
 {
-  Directory directory;
+  Directory directory(kHeartbeat);
   core::MonotonicTime now{};
   const core::TargetId target("t");
   directory.Apply(Entry("t", 5), now);
@@ -121,13 +123,13 @@
   SUBCASE("an entry that is written again stays")
   {
     directory.Apply(Entry("t", 7), now + 1s);
-    CHECK_FALSE(directory.RemoveLapsed(now + 10s));
+    CHECK_FALSE(directory.ApplyDeadlines(now + 10s));
     CHECK(directory.Targets().contains(target));
   }
   SUBCASE("an entry that is not written again is removed at the end of the grace period")
   {
-    CHECK_FALSE(directory.RemoveLapsed(now + 1s));
-    CHECK(directory.RemoveLapsed(now + Directory::kLapseGracePeriod));
+    CHECK_FALSE(directory.ApplyDeadlines(now + 1s));
+    CHECK(directory.ApplyDeadlines(now + Directory::kLapseGracePeriod));
     CHECK(directory.Targets().empty());
   }
   SUBCASE("a removal long after the outage is applied immediately")
@@ -137,18 +139,97 @@
   }
 }
 
-TEST_CASE("after the store comes back from a copy, revisions that are given out again are new")
+TEST_CASE("after the store comes back from a copy, the directory")
 {
-  Directory directory;
-  const core::MonotonicTime now{};
-  directory.ApplyAll({ Entry("t", 5) }, At(9), now);
-  DirectoryChange listed = Entry("t", 4);
-  listed.position = At(4, 2);
-  directory.ApplyAll({ listed }, At(4, 2), now);
-  DirectoryChange leaving = Entry("t", 5, true);
-  leaving.position = At(5, 2);
-  CHECK(directory.Apply(leaving, now));
-  CHECK(directory.Targets().at(core::TargetId("t")).leaving);
+  Directory directory(kHeartbeat);
+  core::MonotonicTime now = core::MonotonicTime{} + 60s;
+  const core::TargetId id("t");
+  const auto entry = [](std::uint64_t aRevision, std::uint64_t aEra, std::uint64_t aStartedAt) {
+    DirectoryChange change = Entry("t", aRevision);
+    change.position = At(aRevision, aEra);
+    change.target->startedAt = aStartedAt;
+    return change;
+  };
+  const auto isUsable = [&] {
+    return directory.Targets().contains(id) && !directory.Targets().at(id).leaving;
+  };
+  directory.ApplyAll({ entry(5, 1, 100) }, At(5), now);
+  REQUIRE(isUsable());
+  SUBCASE("applies changes whose revisions were given out before")
+  {
+    DirectoryChange leaving = entry(5, 2, 100);
+    leaving.target->leaving = true;
+    CHECK(directory.ApplyAll({ entry(4, 2, 100) }, At(4, 2), now) == false);
+    CHECK(directory.Apply(leaving, now));
+    CHECK_FALSE(isUsable());
+  }
+  SUBCASE("keeps targets for a grace period that are missing from the copy")
+  {
+    directory.ApplyAll({}, At(3, 2), now);
+    CHECK(isUsable());
+    directory.ApplyDeadlines(now + Directory::kLapseGracePeriod);
+    CHECK_FALSE(isUsable());
+    CHECK(directory.Apply(entry(4, 2, 100), now));
+    CHECK(isUsable());
+  }
+  SUBCASE("does not use a leaving process again")
+  {
+    DirectoryChange leaving = entry(7, 1, 100);
+    leaving.target->leaving = true;
+    directory.Apply(leaving, now);
+    bool removed = false;
+    SUBCASE("that is still listed") {}
+    SUBCASE("that has gone")
+    {
+      removed = true;
+    }
+    if (removed) {
+      directory.Apply(Removal("t", 9), now);
+    }
+    directory.ApplyAll({ entry(5, 2, 100) }, At(6, 2), now);
+    CHECK_FALSE(isUsable());
+    directory.ApplyDeadlines(now + 1h);
+    CHECK_FALSE(isUsable());
+    SUBCASE("but a later one with the same id")
+    {
+      directory.Apply(entry(7, 2, 200), now);
+      CHECK(isUsable());
+    }
+  }
+  SUBCASE("does not use a process that was gone before")
+  {
+    directory.Apply(Removal("t", 9), now);
+    REQUIRE_FALSE(isUsable());
+    directory.ApplyAll({ entry(5, 2, 100) }, At(6, 2), now);
+    CHECK_FALSE(isUsable());
+    SUBCASE("until its entry has outlived the lease of a process that has ended")
+    {
+      directory.ApplyDeadlines(now + 3 * kHeartbeat);
+      CHECK_FALSE(isUsable());
+      directory.ApplyDeadlines(now + 4 * kHeartbeat);
+      CHECK(isUsable());
+    }
+    SUBCASE("until it is written again")
+    {
+      CHECK(directory.Apply(entry(7, 2, 100), now));
+      CHECK(isUsable());
+    }
+    SUBCASE("and forgets it when the entry expires")
+    {
+      DirectoryChange removal = Removal("t", 8);
+      removal.position = At(8, 2);
+      directory.Apply(removal, now);
+      directory.ApplyDeadlines(now + 1h);
+      CHECK_FALSE(isUsable());
+    }
+  }
+  SUBCASE("uses a process at once that had come back before")
+  {
+    directory.Apply(Removal("t", 7), now);
+    directory.Apply(entry(8, 1, 100), now);
+    directory.ApplyAll({ entry(8, 2, 100) }, At(8, 2), now);
+    CHECK(isUsable());
+  }
 }
 
 TEST_CASE("only complete events are passed on")
--- a/tests/src/unit-wire.cpp
+++ b/tests/src/unit-wire.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 const std::string kSettings = R"({
-  "node": "one", "zone": "a", "ip": "10.0.0.1", "internalPorts": [7000, 7010],
+  "node": "one", "zone": "a", "ip": "10.0.0.1", "internalPorts": [7000, 7010], "heartbeatMs": 1200,
   "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
   "platform": {"address": "10.0.0.9:90"},
   "bounds": {"graceS": 8, "leaseMs": 3000, "budgetRatio": 0.2, "budgetSlack": 58},
@@ -47,7 +47,8 @@
   CHECK(settings->peers == net::Address{ "10.0.0.1", 7'000 });
   CHECK(settings->stopGracePeriod == 8s);
   CHECK(settings->orderLeaseDuration == 3s);
-  for (const char* field : { "node",
+  for (const char* field : { "heartbeatMs",
+                             "node",
                              "zone",
                              "ip",
                              "internalPorts",
