Reserve ports for test fleets so that no other process is given them

Two soaks that ran beside each other shared a port: 1,231 requests of one were run by the other's targets, as the system gives out a port again that is bound with SO_REUSEADDR and not listened on. All ids that ran twice in one were among those that ran nowhere in the other. The option is now set after the port is bound; six soaks beside each other show no such request.

--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -40,8 +40,6 @@
   {
     const int descriptor = ::socket(AF_INET, aType, 0);
     (aType == SOCK_STREAM ? this->connectionPorts : this->datagramPorts).push_back(descriptor);
-    const int reuse = aType == SOCK_STREAM ? 1 : 0;
-    (void)::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -53,6 +51,9 @@
         ::getsockname(descriptor, genericAddress, &size) != 0) {
       return std::nullopt;
     }
+    // Set only now, as a port that is bound with it may be given to another reservation as well.
+    const int reuse = aType == SOCK_STREAM ? 1 : 0;
+    (void)::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
     return ntohs(address.sin_port);
   }
 
