--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -92,6 +92,13 @@
   this->leaving = aLeaving;
 }
 
+bool
+WireTarget::IsLeaving() const
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->leaving;
+}
+
 // Returns the header fields of all responses.
 HeaderList
 WireTarget::ResponseHeaders(const CallerRequest& aRequest) const
@@ -177,13 +184,21 @@
 WireTarget::RecordRequest(const CallerRequest& aRequest)
 {
   const std::scoped_lock lock(this->mutex);
-  this->received.push_back(
-    { HeaderOrEmpty(aRequest, "X-Request-Id"), aRequest.target, aRequest.body, aRequest.headers });
-  if (this->behaviors.empty()) {
-    return TargetBehavior::kAnswer;
+  TargetBehavior act = TargetBehavior::kAnswer;
+  if (!this->behaviors.empty()) {
+    act = this->behaviors.front();
+    this->behaviors.pop_front();
   }
-  const TargetBehavior act = this->behaviors.front();
-  this->behaviors.pop_front();
+  const bool refuses = act == TargetBehavior::kShed || act == TargetBehavior::kShedTwice ||
+                       act == TargetBehavior::kMisdirected;
+  this->received.push_back({ HeaderOrEmpty(aRequest, "X-Request-Id"),
+                             aRequest.target,
+                             aRequest.body,
+                             aRequest.headers,
+                             std::chrono::steady_clock::now(),
+                             !refuses && HeaderOrEmpty(aRequest, "X-Serving-Stage") != "prefill",
+                             this->leaving,
+                             refuses ? this->retryAfter : "" });
   return act;
 }
 
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -17,6 +18,13 @@
   std::string path;
   std::string body;
   serving::HeaderList headers;
+  std::chrono::steady_clock::time_point at;
+  /// @brief Whether the target runs the request; not for a prefill or a refusal.
+  bool ran = false;
+  /// @brief Whether the response states that the target is leaving.
+  bool statedLeaving = false;
+  /// @brief Value of the field `Retry-After` of a refusal; empty for none.
+  std::string retryAfter;
 };
 
 /// @brief How the target handles one request.
@@ -65,6 +73,9 @@
   /// @brief Sets whether the target states in all its responses that it is leaving.
   void SetLeaving(bool aLeaving);
 
+  /// @brief Returns whether the target states that it is leaving.
+  bool IsLeaving() const;
+
   /// @brief Sets the value of the field `Retry-After` in refusals; empty for none.
   void SetRetryAfter(std::string aSeconds);
 
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -152,6 +152,15 @@
   }
 }
 
+bool
+ChildProcess::IsRunning()
+{
+  siginfo_t ended{};
+  return !this->exited &&
+         ::waitid(P_PID, static_cast<id_t>(this->pid), &ended, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         ended.si_pid == 0;
+}
+
 int
 ChildProcess::WaitForExit()
 {
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -43,6 +43,9 @@
   /// @brief Waits until the process has been stopped by a signal, such as SIGSTOP.
   void AwaitStopped() const;
 
+  /// @brief Returns whether the process has not ended.
+  bool IsRunning();
+
   /// @brief Waits for the end of the process.
   /// @return its exit code, or 128 and the signal that ended it
   int WaitForExit();
