Keep prompts with parts that end engines from all engines

Cause: nothing was remembered about what an ended engine was working on, so each new request with the part was placed as if nothing had happened (docs/incidents/prompt-part-crashes-engines.md).

Change: a lost connection whose target then refuses connections is evidence against the prompt's shared parts, an answer clears them, and instances exchange both. What all the suspects have in common is quarantined: such prompts get 503 before any stage, retry, resume or plain call, until an answer to each part or the lifetime of the quarantine (docs/decisions/0018-prompt-quarantine.md).

--- a/apps/gateway/gateway.hpp
+++ b/apps/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include <absl/status/status.h>
 
+#include <plantainslip/serving/prompt_quarantine.hpp>
 #include <plantainslip/serving/stage_plan.hpp>
 
 #include "settings.hpp"
@@ -17,6 +18,7 @@
   ///        if not set.
   std::optional<double> initialDecodeShare;
   serving::StageChangeCosts stageChangeCosts = {};
+  serving::QuarantineOptions quarantine = {};
 };
 
 /// @brief Serves callers until SIGTERM or SIGINT, then drains open requests.
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -17,6 +17,9 @@
 {
   apps::GatewayOptions options;
   unsigned horizonSeconds = static_cast<unsigned>(serving::StageChangeCosts{}.horizon.count());
+  unsigned quarantineSeconds = static_cast<unsigned>(
+    std::chrono::duration_cast<std::chrono::seconds>(serving::QuarantineOptions{}.lifetime)
+      .count());
 };
 
 void
@@ -46,6 +49,24 @@
          "Price of an order to change an engine's stage, in requests",
          group)
     ->check(CLI::Range(0.0, kMaxRequestsPerOrder));
+  const std::string quarantineGroup = "Quarantine of prompt parts";
+  constexpr std::size_t kMinCrashes = 2;
+  constexpr std::size_t kMaxCrashes = 100;
+  constexpr unsigned kMaxQuarantineSeconds = 3'600;
+  aLine
+    .Add("quarantine-after-crashes",
+         aFlags.options.quarantine.minCrashes,
+         "Ended targets, with other answers in between, from which a prompt part that was seen at "
+         "all of them is kept from targets",
+         quarantineGroup)
+    ->check(CLI::Range(kMinCrashes, kMaxCrashes));
+  aLine
+    .Add("quarantine-s",
+         aFlags.quarantineSeconds,
+         "Seconds for which evidence against a prompt part counts, and for which its quarantine "
+         "outlasts the last request with it",
+         quarantineGroup)
+    ->check(CLI::Range(1U, kMaxQuarantineSeconds));
 }
 
 } // namespace
@@ -69,6 +90,7 @@
     std::cerr << settings.status().message() << "\n";
     return apps::kExitBadSettings;
   }
+  flags.options.quarantine.lifetime = std::chrono::seconds(flags.quarantineSeconds);
   flags.options.stageChangeCosts.horizon = std::chrono::seconds(flags.horizonSeconds);
   core::InitializeLog({ "plantainslip-gateway", settings->instance.Text(), settings->zone.Text() },
                       line.LogLevel());
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <plantainslip/serving/load_tracker.hpp>
+#include <plantainslip/serving/prompt_quarantine.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
 #include <plantainslip/serving/target_notices.hpp>
 
@@ -35,6 +36,8 @@
   std::vector<TargetProcess> leaving;
   /// @brief Demand that the sender has seen since its start.
   DemandTable demand;
+  /// @brief Recent evidence about prompts that end targets.
+  CrashReport crashes;
 };
 
 /// @brief Encodes a message as CBOR. Linear in the number of targets.
--- a/include/plantainslip/serving/target_protocol.hpp
+++ b/include/plantainslip/serving/target_protocol.hpp
@@ -46,6 +46,10 @@
   std::vector<PromptPart> parts;
 };
 
+/// @brief Formats the ids of prompt parts for the log.
+std::string
+FormatPartIds(const std::vector<std::uint64_t>& aParts);
+
 /// @brief Formats the ids of a prompt's parts for the log, in order; empty without a prompt.
 std::string
 FormatParts(const std::optional<PromptInfo>& aPrompt);
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -38,16 +38,26 @@
   return "whole";
 }
 
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+}
+
 /// @brief An attempt whose connection was lost before any part of the body was received.
 struct LostAttempt
 {
   Target target;
   AttemptStep step = AttemptStep::kWhole;
   core::RequestId request;
-  std::string parts;
+  std::optional<PromptInfo> prompt;
+  core::MonotonicTime at;
+  /// @brief Whether an attempt of the same request was lost before.
+  bool isRepeat = false;
 };
 
-// Tells the end of a target's process from the loss of one connection.
+// Tells the end of a target's process, which is evidence against the prompt, from the loss of one
+// connection.
 Task<void>
 CheckTarget(PathContext& aContext, LostAttempt aLost)
 {
@@ -60,7 +70,12 @@
               { "service", service },
               { "step", std::string(StepName(aLost.step)) },
               { "request", aLost.request.Text() },
-              { "parts", aLost.parts } });
+              { "parts", FormatParts(aLost.prompt) } });
+  if (ended && aLost.prompt.has_value()) {
+    const PromptQuarantine::Crash crash{ aLost.target.id, aLost.at, aLost.isRepeat };
+    aContext.quarantine.RecordCrash(crash, *aLost.prompt, aContext.clock.Now());
+    LogQuarantineChanges(aContext);
+  }
 }
 
 std::string
@@ -86,6 +101,19 @@
 
 } // namespace
 
+void
+LogQuarantineChanges(PathContext& aContext)
+{
+  for (const PromptQuarantine::Change& change : aContext.quarantine.TakeChanges()) {
+    aContext.metrics.Count("quarantine_changes_total",
+                           change.quarantined ? "quarantined" : "released");
+    core::Log(core::LogLevel::kWarning,
+              change.quarantined ? "prompt parts quarantined" : "prompt parts released",
+              { { "parts", FormatPartIds(change.parts) },
+                { "ended_targets", std::to_string(change.crashes) } });
+  }
+}
+
 void
 RecordNotices(PathContext& aContext, const Target& aTarget, const ResponseInfo& aInfo)
 {
@@ -204,20 +232,38 @@
   if (this->hasBody || !core::IsError(aFailure, errors::kConnectionLost)) {
     return;
   }
-  LostAttempt lost{
-    this->target, this->step, this->request.info.id, FormatParts(this->request.info.prompt)
-  };
+  LostAttempt lost{ this->target,
+                    this->step,
+                    this->request.info.id,
+                    this->request.info.prompt,
+                    this->context.clock.Now(),
+                    this->request.lostConnections > 0 };
+  ++this->request.lostConnections;
   Spawn(this->context.executor, "check target", [&context = this->context, lost] {
     return CheckTarget(context, lost);
   });
 }
 
+// Records that the target has begun to answer: the prompt does not end it.
+void
+AttemptCall::RecordBeginning()
+{
+  this->hasBody = true;
+  const bool isAnswer = this->step != AttemptStep::kPrefill && IsSuccess(this->status);
+  if (isAnswer && this->request.info.prompt.has_value()) {
+    this->context.quarantine.RecordAnswer(*this->request.info.prompt, this->context.clock.Now());
+    LogQuarantineChanges(this->context);
+  }
+}
+
 Task<absl::StatusOr<bool>>
 AttemptCall::ReadSome(std::string& aBody)
 {
   const std::size_t sizeBefore = aBody.size();
   absl::StatusOr<bool> more = co_await this->call->ReadSome(aBody);
-  this->hasBody = this->hasBody || aBody.size() > sizeBefore;
+  if (!this->hasBody && aBody.size() > sizeBefore) {
+    this->RecordBeginning();
+  }
   this->CheckTargetAfter(more.status());
   co_return more;
 }
@@ -300,16 +346,17 @@
   RecordNotices(this->context, this->target, attempt.info);
   attempt.head = std::move(*head);
   attempt.state = AttemptState::kAnswered;
-  const int status = attempt.head.status;
-  const bool success = status >= kFirstSuccess && status < kFirstRedirect;
+  this->status = attempt.head.status;
+  const bool success = IsSuccess(this->status);
   if (attempt.info.notRun) {
     attempt.state = AttemptState::kNotRun;
     this->request.mayHaveRun = ranBefore;
-  } else if ((success && !attempt.info.hasSignature && runsRequest) || IsNotRunStatus(status)) {
+  } else if ((success && !attempt.info.hasSignature && runsRequest) ||
+             IsNotRunStatus(this->status)) {
     attempt.state = AttemptState::kUnknown;
   }
   if (attempt.state != AttemptState::kAnswered) {
-    attempt.detail = "status " + std::to_string(status);
+    attempt.detail = "status " + std::to_string(this->status);
     const auto rest = co_await this->ReadAll();
     if (rest.ok() && attempt.state == AttemptState::kNotRun) {
       this->ReturnConnection();
@@ -335,6 +382,9 @@
 AttemptCall::ReadAll()
 {
   auto body = co_await this->call->ReadAll(kMaxBufferedBodyBytes);
+  if (body.ok() && !body->empty()) {
+    this->RecordBeginning();
+  }
   this->CheckTargetAfter(body.status());
   co_return body;
 }
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -75,6 +75,7 @@
   Task<absl::StatusOr<std::string>> ReadAll();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
   void CheckTargetAfter(const absl::Status& aFailure);
+  void RecordBeginning();
 
   PathContext& context;
   PathRequest& request;
@@ -85,10 +86,15 @@
   std::unique_ptr<TimeLimit> limit;
   std::unique_ptr<TargetCall> call;
   AttemptStep step = AttemptStep::kWhole;
+  int status = 0;
   /// @brief Whether a part of the body was received.
   bool hasBody = false;
 };
 
+/// @brief Logs which prompt parts were quarantined or released since the last call.
+void
+LogQuarantineChanges(PathContext& aContext);
+
 /// @brief Converts an attempt's outcome to a result for the target's health record.
 /// @return nothing if the attempt was cancelled, which tells nothing about the target
 std::optional<AttemptResult>
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -246,6 +246,10 @@
 Completion::Prefill()
 {
   while (true) {
+    const bool ended = co_await EndIfQuarantined(this->context, this->request);
+    if (ended) {
+      co_return PrefillOutcome::kRequestEnded;
+    }
     const auto place = this->ChoosePrefillEngine();
     if (!place.has_value()) {
       co_return PrefillOutcome::kNoEngine;
@@ -453,6 +457,11 @@
   std::optional<Target> engine = this->ChooseDecodeEngine();
   std::string reason = "no_engine";
   while (engine.has_value()) {
+    const bool ended = co_await EndIfQuarantined(this->context, this->request);
+    if (ended) {
+      this->ReleaseHandle();
+      co_return;
+    }
     const bool readsPrompt = !this->cachedPrompt.has_value();
     // Decode engines read prompts at half the speed, so the tokens count twice.
     LoadScope load(this->context.loads,
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -5,6 +5,7 @@
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
 
+#include "attempt.hpp"
 #include "spawn.hpp"
 
 namespace plantainslip::serving {
@@ -119,6 +120,10 @@
                 { { "target", process.id.Text() }, { "peer", aMessage.sender.Text() } });
     }
   }
+  if (!aMessage.crashes.Empty()) {
+    this->path.quarantine.Merge(aMessage.crashes, now);
+    LogQuarantineChanges(this->path);
+  }
   const FleetSnapshot& fleet = *this->path.fleet;
   const bool knowsMore = aMessage.configPosition > fleet.configPosition ||
                          aMessage.targetsPosition > fleet.targetsPosition;
@@ -193,6 +198,7 @@
   message.demand = this->path.demand.Totals(now);
   message.unreachable = this->path.health.UnreachableTargets(now);
   message.leaving = this->path.notices.NewsFor(this->path.fleet->targets);
+  message.crashes = this->path.quarantine.Report(now);
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [id, peer] : this->peers) {
     if (aRecipients == Recipients::kAllZones || peer.state.zone == this->self.zone) {
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -9,6 +9,7 @@
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/retries/retry_policy.hpp>
 #include <plantainslip/serving/placement.hpp>
+#include <plantainslip/serving/prompt_quarantine.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
 
 #include "connection_pool.hpp"
@@ -70,6 +71,7 @@
   TargetNotices notices = {};
   PrefillModel prefill = {};
   DemandMeter demand = {};
+  PromptQuarantine quarantine = PromptQuarantine();
   std::map<core::ServiceName, std::unique_ptr<retries::RetryBudget>> budgets = {};
   /// @brief Latest snapshot published by the control thread; never null.
   std::shared_ptr<const FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
@@ -148,6 +150,8 @@
   TriedTargets unreachable;
   /// @brief Whether a target may have started to run it.
   bool mayHaveRun = false;
+  /// @brief Number of attempts that got nothing but a lost connection.
+  std::size_t lostConnections = 0;
   /// @brief Number of attempts so far; a successful first prefill does not count.
   std::uint64_t attempts = 0;
   /// @brief Duration of the prefill call, and the wait and reading time that placement expected.
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -104,6 +104,107 @@
   return true;
 }
 
+/// Max age in a report; the conversion of a larger one to a duration could overflow.
+constexpr std::uint64_t kMaxAgeMs = 3'600'000;
+
+milliseconds
+ReadAge(const json& aValue)
+{
+  return milliseconds(static_cast<std::int64_t>(std::min(kMaxAgeMs, aValue.get<std::uint64_t>())));
+}
+
+json
+EncodeCrashes(const CrashReport& aReport)
+{
+  json suspects = json::array();
+  for (const CrashReport::Suspect& suspect : aReport.suspects) {
+    suspects.push_back(json::array(
+      { suspect.target.Text(), suspect.age.count(), json(suspect.parts), suspect.isRepeat }));
+  }
+  json answered = json::array();
+  for (const CrashReport::Answered& answer : aReport.answered) {
+    answered.push_back(json::array({ answer.part, answer.age.count() }));
+  }
+  json quarantined = json::array();
+  for (const CrashReport::Quarantined& entry : aReport.quarantined) {
+    quarantined.push_back(json::array({ json(entry.parts), entry.age.count(), entry.outages }));
+  }
+  json answerAges = json::array();
+  for (const milliseconds age : aReport.answerAges) {
+    answerAges.push_back(age.count());
+  }
+  return json::array(
+    { std::move(suspects), std::move(answered), std::move(quarantined), std::move(answerAges) });
+}
+
+bool
+IsNumberList(const json& aValue)
+{
+  return aValue.is_array() && std::all_of(aValue.begin(), aValue.end(), [](const json& aNumber) {
+           return aNumber.is_number_unsigned();
+         });
+}
+
+// Returns the part ids in the order that part sets have.
+PartSet
+ReadParts(const json& aValue)
+{
+  auto parts = aValue.get<PartSet>();
+  std::sort(parts.begin(), parts.end());
+  return parts;
+}
+
+bool
+DecodeSuspects(const json& aSuspects, CrashReport& aCrashes)
+{
+  for (const json& entry : aSuspects) {
+    constexpr std::size_t kFields = 4;
+    if (!entry.is_array() || entry.size() != kFields || !entry[0].is_string() ||
+        !entry[1].is_number_unsigned() || !IsNumberList(entry[2]) || !entry[3].is_boolean()) {
+      return false;
+    }
+    aCrashes.suspects.push_back({ core::TargetId(entry[0].get<std::string>()),
+                                  ReadParts(entry[2]),
+                                  ReadAge(entry[1]),
+                                  entry[3].get<bool>() });
+  }
+  return true;
+}
+
+// Returns whether the value is well-formed.
+bool
+DecodeCrashes(const json& aReport, CrashReport& aCrashes)
+{
+  constexpr std::size_t kLists = 4;
+  if (!aReport.is_array() || aReport.size() != kLists ||
+      !std::all_of(
+        aReport.begin(), aReport.end(), [](const auto& aList) { return aList.is_array(); })) {
+    return false;
+  }
+  for (const json& entry : aReport[1]) {
+    if (!IsNumberList(entry) || entry.size() != 2) {
+      return false;
+    }
+    aCrashes.answered.push_back({ entry[0].get<std::uint64_t>(), ReadAge(entry[1]) });
+  }
+  for (const json& entry : aReport[2]) {
+    constexpr std::size_t kFields = 3;
+    if (!entry.is_array() || entry.size() != kFields || !IsNumberList(entry[0]) ||
+        !entry[1].is_number_unsigned() || !entry[2].is_number_unsigned()) {
+      return false;
+    }
+    aCrashes.quarantined.push_back(
+      { ReadParts(entry[0]), ReadAge(entry[1]), entry[2].get<std::size_t>() });
+  }
+  for (const json& age : aReport[3]) {
+    if (!age.is_number_unsigned()) {
+      return false;
+    }
+    aCrashes.answerAges.push_back(ReadAge(age));
+  }
+  return DecodeSuspects(aReport[0], aCrashes);
+}
+
 } // namespace
 
 std::string
@@ -124,17 +225,21 @@
   for (const core::TargetId& target : aMessage.unreachable) {
     unreachable.push_back(target.Text());
   }
-  const json message = json::array({ aMessage.sender.Text(),
-                                     aMessage.sequence,
-                                     EncodePosition(aMessage.configPosition),
-                                     EncodePosition(aMessage.targetsPosition),
-                                     std::move(loads),
-                                     aMessage.zone.Text(),
-                                     static_cast<std::uint64_t>(aMessage.linkMbps),
-                                     aMessage.confirmedAge.count(),
-                                     std::move(unreachable),
-                                     EncodeDemand(aMessage.demand),
-                                     EncodeProcesses(aMessage.leaving) });
+  json message = json::array({ aMessage.sender.Text(),
+                               aMessage.sequence,
+                               EncodePosition(aMessage.configPosition),
+                               EncodePosition(aMessage.targetsPosition),
+                               std::move(loads),
+                               aMessage.zone.Text(),
+                               static_cast<std::uint64_t>(aMessage.linkMbps),
+                               aMessage.confirmedAge.count(),
+                               std::move(unreachable),
+                               EncodeDemand(aMessage.demand),
+                               EncodeProcesses(aMessage.leaving) });
+  // Rare, and unknown to instances of earlier versions.
+  if (!aMessage.crashes.Empty()) {
+    message.push_back(EncodeCrashes(aMessage.crashes));
+  }
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -147,12 +252,13 @@
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
   PeerMessage read;
   constexpr std::size_t kFields = 11;
-  if (!message.is_array() || message.size() != kFields || !message[0].is_string() ||
+  if (!message.is_array() || message.size() < kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !DecodePosition(message[2], read.configPosition) ||
       !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
       !message[5].is_string() || !message[6].is_number_unsigned() ||
       !message[7].is_number_unsigned() || !message[8].is_array() ||
-      !DecodeDemand(message[9], read.demand) || !DecodeProcesses(message[10], read.leaving)) {
+      !DecodeDemand(message[9], read.demand) || !DecodeProcesses(message[10], read.leaving) ||
+      (message.size() > kFields && !DecodeCrashes(message[kFields], read.crashes))) {
     return bad();
   }
   read.sender = core::InstanceId(message[0].get<std::string>());
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -171,6 +171,26 @@
   co_await Refuse(aContext, aRequest, status, std::move(aReason), milliseconds(0));
 }
 
+Task<bool>
+EndIfQuarantined(PathContext& aContext, PathRequest& aRequest)
+{
+  if (!aRequest.info.prompt.has_value()) {
+    co_return false;
+  }
+  const auto timeLeft = aContext.quarantine.TimeLeft(*aRequest.info.prompt, aContext.clock.Now());
+  LogQuarantineChanges(aContext);
+  if (!timeLeft.has_value()) {
+    co_return false;
+  }
+  std::string reason = "prompt_quarantined";
+  if (aRequest.mayHaveRun || aRequest.cancellation.Reason().has_value()) {
+    co_await FailRequest(aContext, aRequest, std::move(reason));
+  } else {
+    co_await Refuse(aContext, aRequest, kUnavailable, std::move(reason), *timeLeft);
+  }
+  co_return true;
+}
+
 bool
 TryTakeRetry(PathContext& aContext, PathRequest& aRequest)
 {
@@ -185,6 +205,10 @@
 {
   const bool idempotent = aRequest.route.kind == RequestKind::kIdempotent;
   while (true) {
+    const bool ended = co_await EndIfQuarantined(aContext, aRequest);
+    if (ended) {
+      co_return;
+    }
     const auto target =
       ChoosePlain(aContext.View(), aRequest.service.name, ExcludedTargets(aRequest));
     if (!target.has_value()) {
@@ -259,9 +283,7 @@
                        service == nullptr ? Service{} : *service,
                        aRequest.arrival + timeLimit,
                        {},
-                       {},
-                       false,
-                       0 };
+                       {} };
   aContext.metrics.Count("requests_total", route->name);
   if (service == nullptr) {
     std::string reason = "no_service";
--- a/src/serving/request_path.hpp
+++ b/src/serving/request_path.hpp
@@ -40,6 +40,12 @@
 Task<void>
 FailRequest(PathContext& aContext, PathRequest& aRequest, std::string aReason);
 
+/// @brief Ends a request whose prompt is quarantined, before it is sent to another target: 503 if
+///        it has not run, else as FailRequest().
+/// @return true if the request was ended
+Task<bool>
+EndIfQuarantined(PathContext& aContext, PathRequest& aRequest);
+
 /// @brief Takes a retry from the service's retry budget.
 /// @return false if the request is cancelled or the budget is exhausted
 bool
--- a/src/serving/target_protocol.cpp
+++ b/src/serving/target_protocol.cpp
@@ -5,15 +5,24 @@
 
 namespace plantainslip::serving {
 
+std::string
+FormatPartIds(const std::vector<std::uint64_t>& aParts)
+{
+  return absl::StrJoin(aParts, ",", [](std::string* aText, std::uint64_t aPart) {
+    absl::StrAppendFormat(aText, "%x", aPart);
+  });
+}
+
 std::string
 FormatParts(const std::optional<PromptInfo>& aPrompt)
 {
-  if (!aPrompt.has_value()) {
-    return "";
+  std::vector<std::uint64_t> ids;
+  if (aPrompt.has_value()) {
+    for (const PromptPart& part : aPrompt->parts) {
+      ids.push_back(part.id);
+    }
   }
-  return absl::StrJoin(aPrompt->parts, ",", [](std::string* aText, const PromptPart& aPart) {
-    absl::StrAppendFormat(aText, "%x", aPart.id);
-  });
+  return FormatPartIds(ids);
 }
 
 } // namespace plantainslip::serving
--- a/tests/src/process-settings.cpp
+++ b/tests/src/process-settings.cpp
@@ -69,6 +69,8 @@
   CheckNamed(run({ "--initial-decode-share", "1" }), "--initial-decode-share", "0.99");
   CheckNamed(run({ "--demand-horizon-s", "0" }), "--demand-horizon-s", "3600");
   CheckNamed(run({ "--requests-per-order", "-1" }), "--requests-per-order", "10000");
+  CheckNamed(run({ "--quarantine-after-crashes", "1" }), "--quarantine-after-crashes", "100");
+  CheckNamed(run({ "--quarantine-s", "0" }), "--quarantine-s", "3600");
   const EnvironmentValue fromEnvironment("PLANTAINSLIP_DEMAND_HORIZON_S", "4000");
   CheckNamed(run({}), "--demand-horizon-s", "4000");
 }
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -297,9 +297,18 @@
   message.leaving = { { core::TargetId("w"), 1'234 } };
   message.demand[core::ServiceName("models")] = { 7.0, 250.0, 900.0,   40'000.0,
                                                   2.0, 3.0,   1'500.0, 9e9 };
+  SUBCASE("without evidence about ended targets") {}
+  SUBCASE("with evidence about ended targets")
+  {
+    message.crashes.suspects = { { core::TargetId("t"), { 3, 9 }, 40ms, true } };
+    message.crashes.answered = { { 3, 10ms } };
+    message.crashes.quarantined = { { { 9 }, 5ms, 3 } };
+    message.crashes.answerAges = { 20ms, 70ms };
+  }
   const std::string bytes = EncodePeerMessage(message);
   const auto read = DecodePeerMessage(bytes);
   REQUIRE(read.ok());
+  CHECK(read->crashes == message.crashes);
   CHECK(read->sender == message.sender);
   CHECK(read->sequence == 9);
   CHECK(read->targetsPosition == At(4));
