--- a/include/plantainslip/serving/target_notices.hpp
+++ b/include/plantainslip/serving/target_notices.hpp
@@ -48,7 +48,8 @@
   /// @brief Returns whether a target is leaving, according to the directory or to itself.
   bool IsLeaving(const Target& aTarget) const
   {
-    return aTarget.leaving || this->LeavingSince(ProcessOf(aTarget)).has_value();
+    return aTarget.leaving ||
+           (!this->leaving.empty() && this->LeavingSince(ProcessOf(aTarget)).has_value());
   }
 
   /// @brief Returns the leaving processes that a directory still lists as usable; linear in the
@@ -65,7 +66,8 @@
   /// @brief Returns whether a target takes new requests from this instance.
   bool TakesRequests(const Target& aTarget, core::MonotonicTime aNow) const
   {
-    return !this->IsLeaving(aTarget) && this->PauseLeft(ProcessOf(aTarget), aNow).count() == 0;
+    return !this->IsLeaving(aTarget) &&
+           (this->pausedUntil.empty() || this->PauseLeft(ProcessOf(aTarget), aNow).count() == 0);
   }
 
 private:
