Keep all instances together within the rate that a target states

Cause: no code read the limit.

Change: `TargetLimits` divides a stated rate among the live instances and counts each request that is about to be sent. Placement takes targets only that have a share left; if none of a kind has, callers are refused at once with the time until one has.

--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -8,7 +8,7 @@
 #include <plantainslip/serving/load_tracker.hpp>
 #include <plantainslip/serving/prompt_quarantine.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
-#include <plantainslip/serving/target_notices.hpp>
+#include <plantainslip/serving/target_limits.hpp>
 
 namespace plantainslip::serving {
 
@@ -34,6 +34,8 @@
   /// @brief Processes that state that they are leaving while the sender's directory lists them as
   ///        usable.
   std::vector<TargetProcess> leaving;
+  /// @brief Rate limits that targets have recently stated to the sender.
+  std::vector<RateStatement> limits;
   /// @brief Demand that the sender has seen since its start.
   DemandTable demand;
   /// @brief Recent evidence about prompts that end targets.
--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -7,7 +7,7 @@
 #include <plantainslip/serving/load_tracker.hpp>
 #include <plantainslip/serving/prefill_model.hpp>
 #include <plantainslip/serving/target_health.hpp>
-#include <plantainslip/serving/target_notices.hpp>
+#include <plantainslip/serving/target_limits.hpp>
 
 namespace plantainslip::serving {
 
@@ -22,6 +22,7 @@
   const TargetHealth& health;
   const PrefillModel& prefill;
   const TargetNotices& notices;
+  const TargetLimits& limits;
   core::ZoneId ownZone;
   core::MonotonicTime now;
 };
@@ -77,6 +78,11 @@
             const core::ServiceName& aService,
             const TriedTargets& aTried);
 
+/// @brief Returns the time until a target that is not leaving takes another request of this
+///        instance, by its pause and its rate limit; zero if it takes one now.
+milliseconds
+WaitFor(const PlacementView& aView, const Target& aTarget);
+
 /// @brief Returns the time until a target of a service takes requests again, if all that are not
 ///        leaving want none for a time.
 ///
--- a/include/plantainslip/serving/target_notices.hpp
+++ b/include/plantainslip/serving/target_notices.hpp
@@ -63,12 +63,8 @@
   /// @brief Returns how much longer a process wants no requests; zero if it takes them.
   milliseconds PauseLeft(const TargetProcess& aProcess, core::MonotonicTime aNow) const;
 
-  /// @brief Returns whether a target takes new requests from this instance.
-  bool TakesRequests(const Target& aTarget, core::MonotonicTime aNow) const
-  {
-    return !this->IsLeaving(aTarget) &&
-           (this->pausedUntil.empty() || this->PauseLeft(ProcessOf(aTarget), aNow).count() == 0);
-  }
+  /// @brief Returns whether any pause is remembered.
+  bool HasPauses() const { return !this->pausedUntil.empty(); }
 
 private:
   std::map<TargetProcess, core::MonotonicTime> pausedUntil;
--- a/include/plantainslip/serving/target_protocol.hpp
+++ b/include/plantainslip/serving/target_protocol.hpp
@@ -101,6 +101,9 @@
   bool hasSignature = false;
   /// @brief The target states that it is leaving and must get no new work.
   bool leaving = false;
+  /// @brief Requests per second that the target takes from all instances together, if it states a
+  ///        limit.
+  std::optional<double> requestsPerSecond;
   /// @brief How long a target that refuses the request wants no more from this instance.
   std::optional<milliseconds> retryAfter;
 };
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -129,6 +129,16 @@
         { "service", aTarget.service.Text() },
         { "directory", !isListed ? "absent" : (listed->second.leaving ? "leaving" : "ready") } });
   }
+  if (aContext.limits.Record(ProcessOf(aTarget), aInfo.requestsPerSecond, now)) {
+    aContext.metrics.Count("target_limits_total", aTarget.service.Text());
+    core::Log(core::LogLevel::kInfo,
+              "target states another rate limit",
+              { { "target", aTarget.id.Text() },
+                { "service", aTarget.service.Text() },
+                { "requests_per_s",
+                  aInfo.requestsPerSecond.has_value() ? std::to_string(*aInfo.requestsPerSecond)
+                                                      : "none" } });
+  }
   if (aInfo.retryAfter.has_value()) {
     aContext.notices.RecordPause(ProcessOf(aTarget), *aInfo.retryAfter, now);
     aContext.metrics.Count("target_pauses_total", aTarget.service.Text());
@@ -283,12 +293,15 @@
 }
 
 bool
-AttemptCall::TargetTakesRequests() const
+AttemptCall::ClaimRequest()
 {
+  const core::MonotonicTime now = this->context.clock.Now();
   const auto& targets = this->context.fleet->targets;
   const auto listed = targets.find(this->target.id);
   return listed != targets.end() && ProcessOf(listed->second) == ProcessOf(this->target) &&
-         this->context.notices.TakesRequests(listed->second, this->context.clock.Now());
+         !this->context.notices.IsLeaving(listed->second) &&
+         this->context.notices.PauseLeft(ProcessOf(this->target), now).count() == 0 &&
+         this->context.limits.TryTake(ProcessOf(this->target), now);
 }
 
 Task<Attempt>
@@ -313,7 +326,7 @@
     attempt.detail = std::string(connection.status().message());
     co_return attempt;
   }
-  if (!this->TargetTakesRequests()) {
+  if (!this->ClaimRequest()) {
     this->context.pool.Release(this->target.address, std::move(*connection), milliseconds(0));
     attempt.state = AttemptState::kWithdrawn;
     attempt.detail = "target withdrawn";
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -70,8 +70,8 @@
   std::string RequestHead(AttemptPlan& aPlan) const;
   milliseconds MaxIdle(AttemptStep aStep) const;
   /// @brief Returns whether the target, chosen before the wait for a connection, is still listed
-  ///        and takes requests.
-  bool TargetTakesRequests() const;
+  ///        and takes this request, which then counts for its rate limit.
+  bool ClaimRequest();
   Task<absl::StatusOr<std::string>> ReadAll();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
   void CheckTargetAfter(const absl::Status& aFailure);
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -411,8 +411,8 @@
     // The handle may have expired; the same engine can read the prompt itself.
     const bool hadHandle = this->cachedPrompt.has_value();
     this->cachedPrompt.reset();
-    const bool takesRequests =
-      this->context.notices.TakesRequests(aEngine, this->context.clock.Now());
+    const bool takesRequests = !this->context.notices.IsLeaving(aEngine) &&
+                               WaitFor(this->context.View(), aEngine).count() == 0;
     if (hadHandle && takesRequests && TryTakeRetry(this->context, this->request)) {
       return aEngine;
     }
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -120,6 +120,9 @@
                 { { "target", process.id.Text() }, { "peer", aMessage.sender.Text() } });
     }
   }
+  for (const RateStatement& statement : aMessage.limits) {
+    this->path.limits.Merge(statement, now);
+  }
   if (!aMessage.crashes.Empty()) {
     this->path.quarantine.Merge(aMessage.crashes, now);
     LogQuarantineChanges(this->path);
@@ -138,11 +141,14 @@
   const core::MonotonicTime now = this->path.clock.Now();
   this->reportedAt = now;
   std::vector<PeerState> states;
+  std::vector<core::InstanceId> liveIds;
   for (const auto& [id, peer] : this->peers) {
     if (IsAlive(peer.state, now)) {
       states.push_back(peer.state);
+      liveIds.push_back(id);
     }
   }
+  this->path.limits.SetInstances(this->self.id, std::move(liveIds));
   this->demand.SetReport(this->self.id, this->path.demand.Totals(now));
   this->demand.RemoveUnknown([this](const core::InstanceId& aId) {
     return aId == this->self.id || this->peers.contains(aId);
@@ -197,6 +203,7 @@
   message.loads = this->path.loads.OwnLoads();
   message.demand = this->path.demand.Totals(now);
   message.unreachable = this->path.health.UnreachableTargets(now);
+  message.limits = this->path.limits.News(now);
   message.leaving = this->path.notices.NewsFor(this->path.fleet->targets);
   message.crashes = this->path.quarantine.Report(now);
   const std::string bytes = EncodePeerMessage(message);
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -69,6 +69,7 @@
   LoadTracker loads = {};
   TargetHealth health = {};
   TargetNotices notices = {};
+  TargetLimits limits = {};
   PrefillModel prefill = {};
   DemandMeter demand = {};
   PromptQuarantine quarantine = PromptQuarantine();
@@ -108,8 +109,8 @@
   /// @brief Returns the current input for placement decisions.
   PlacementView View() const
   {
-    return { *this->fleet,  this->loads,   this->health,     this->prefill,
-             this->notices, this->ownZone, this->clock.Now() };
+    return { *this->fleet,  this->loads,  this->health,  this->prefill,
+             this->notices, this->limits, this->ownZone, this->clock.Now() };
   }
 };
 
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -113,6 +113,49 @@
   return milliseconds(static_cast<std::int64_t>(std::min(kMaxAgeMs, aValue.get<std::uint64_t>())));
 }
 
+/// Unit of rates in messages: thousandths of a request per second.
+constexpr double kRateScale = 1'000.0;
+
+json
+EncodeLimits(const std::vector<RateStatement>& aStatements)
+{
+  json statements = json::array();
+  for (const RateStatement& statement : aStatements) {
+    const auto& rate = statement.requestsPerSecond;
+    statements.push_back(json::array(
+      { statement.process.id.Text(),
+        statement.process.startedAt,
+        rate.has_value() ? json(static_cast<std::uint64_t>(*rate * kRateScale)) : json(nullptr),
+        static_cast<std::uint64_t>(statement.age.count()) }));
+  }
+  return statements;
+}
+
+// Returns whether the value is well-formed.
+bool
+DecodeLimits(const json& aValue, std::vector<RateStatement>& aStatements)
+{
+  constexpr std::size_t kStatementFields = 4;
+  if (!aValue.is_array()) {
+    return false;
+  }
+  for (const json& entry : aValue) {
+    if (!entry.is_array() || entry.size() != kStatementFields || !entry[0].is_string() ||
+        !entry[1].is_number_unsigned() || !entry[3].is_number_unsigned()) {
+      return false;
+    }
+    RateStatement statement;
+    statement.process = { core::TargetId(entry[0].get<std::string>()),
+                          entry[1].get<std::uint64_t>() };
+    if (entry[2].is_number_unsigned()) {
+      statement.requestsPerSecond = entry[2].get<double>() / kRateScale;
+    }
+    statement.age = ReadAge(entry[3]);
+    aStatements.push_back(std::move(statement));
+  }
+  return true;
+}
+
 json
 EncodeCrashes(const CrashReport& aReport)
 {
@@ -235,7 +278,8 @@
                                aMessage.confirmedAge.count(),
                                std::move(unreachable),
                                EncodeDemand(aMessage.demand),
-                               EncodeProcesses(aMessage.leaving) });
+                               EncodeProcesses(aMessage.leaving),
+                               EncodeLimits(aMessage.limits) });
   // Rare, and unknown to instances of earlier versions.
   if (!aMessage.crashes.Empty()) {
     message.push_back(EncodeCrashes(aMessage.crashes));
@@ -251,13 +295,14 @@
   const auto bad = [] { return core::MakeError(errors::kBadAnswer, "malformed peer message"); };
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
   PeerMessage read;
-  constexpr std::size_t kFields = 11;
+  constexpr std::size_t kFields = 12;
   if (!message.is_array() || message.size() < kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !DecodePosition(message[2], read.configPosition) ||
       !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
       !message[5].is_string() || !message[6].is_number_unsigned() ||
       !message[7].is_number_unsigned() || !message[8].is_array() ||
       !DecodeDemand(message[9], read.demand) || !DecodeProcesses(message[10], read.leaving) ||
+      !DecodeLimits(message[11], read.limits) ||
       (message.size() > kFields && !DecodeCrashes(message[kFields], read.crashes))) {
     return bad();
   }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -40,7 +40,8 @@
   std::vector<const Target*> avoided;
   for (const auto& [id, target] : aView.fleet.targets) {
     const bool tried = std::find(aTried.begin(), aTried.end(), id) != aTried.end();
-    if (tried || !aAccepts(target) || !aView.notices.TakesRequests(target, aView.now)) {
+    if (tried || !aAccepts(target) || aView.notices.IsLeaving(target) ||
+        WaitFor(aView, target).count() > 0) {
       continue;
     }
     (aView.health.IsAvoided(id, aView.now) ? avoided : preferred).push_back(&target);
@@ -211,6 +212,17 @@
   return best == nullptr ? std::nullopt : std::optional<Target>(*best);
 }
 
+milliseconds
+WaitFor(const PlacementView& aView, const Target& aTarget)
+{
+  if (!aView.notices.HasPauses() && !aView.limits.HasLimits()) {
+    return milliseconds(0);
+  }
+  const TargetProcess process = ProcessOf(aTarget);
+  return std::max(aView.notices.PauseLeft(process, aView.now),
+                  aView.limits.Wait(process, aView.now));
+}
+
 milliseconds
 PauseOf(const PlacementView& aView, const core::ServiceName& aService)
 {
@@ -218,7 +230,7 @@
   for (const auto& [id, target] : aView.fleet.targets) {
     if (target.service == aService && target.stage != EngineStage::kPrefill &&
         !aView.notices.IsLeaving(target)) {
-      const milliseconds left = aView.notices.PauseLeft(ProcessOf(target), aView.now);
+      const milliseconds left = WaitFor(aView, target);
       shortest = std::min(shortest.value_or(left), left);
     }
   }
--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -64,6 +64,13 @@
   this->fatalPart = std::move(aPart);
 }
 
+void
+WireTarget::SetRateLimit(std::string aRequestsPerSecond)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->rateLimit = std::move(aRequestsPerSecond);
+}
+
 void
 WireTarget::SetRetryAfter(std::string aSeconds)
 {
@@ -109,6 +116,9 @@
   if (this->leaving) {
     headers.push_back({ "Server-Leaving", "1" });
   }
+  if (!this->rateLimit.empty()) {
+    headers.push_back({ "Server-Limit", this->rateLimit });
+  }
   return headers;
 }
 
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -76,6 +76,9 @@
   /// @brief Returns whether the target states that it is leaving.
   bool IsLeaving() const;
 
+  /// @brief Sets the rate limit, in requests per second, that all responses state; empty for none.
+  void SetRateLimit(std::string aRequestsPerSecond);
+
   /// @brief Sets the value of the field `Retry-After` in refusals; empty for none.
   void SetRetryAfter(std::string aSeconds);
 
@@ -125,6 +128,7 @@
   bool released = false;
   std::string fatalPart;
   std::string retryAfter;
+  std::string rateLimit;
   bool leaving = false;
   bool ended = false;
   core::SystemClock clock;
--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -52,14 +52,15 @@
   TargetHealth health;
   PrefillModel prefill;
   TargetNotices notices;
+  TargetLimits limits;
   core::MonotonicTime now{};
 
   void Add(const Target& aTarget) { this->fleet.targets.emplace(aTarget.id, aTarget); }
 
   PlacementView View() const
   {
-    return { this->fleet,   this->loads,       this->health, this->prefill,
-             this->notices, core::ZoneId("a"), this->now };
+    return { this->fleet,   this->loads,  this->health,      this->prefill,
+             this->notices, this->limits, core::ZoneId("a"), this->now };
   }
 };
 
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -295,6 +295,8 @@
   message.confirmedAge = 450ms;
   message.unreachable = { core::TargetId("u"), core::TargetId("v") };
   message.leaving = { { core::TargetId("w"), 1'234 } };
+  message.limits = { { { core::TargetId("x"), 5 }, 9.125, 40ms },
+                     { { core::TargetId("y"), 6 }, std::nullopt, 50ms } };
   message.demand[core::ServiceName("models")] = { 7.0, 250.0, 900.0,   40'000.0,
                                                   2.0, 3.0,   1'500.0, 9e9 };
   SUBCASE("without evidence about ended targets") {}
@@ -318,6 +320,7 @@
   CHECK(read->confirmedAge == 450ms);
   CHECK(read->unreachable == message.unreachable);
   CHECK(read->leaving == message.leaving);
+  CHECK(read->limits == message.limits);
   CHECK(read->demand == message.demand);
   SUBCASE("a truncated message is an error, and a corrupted one never causes a crash")
   {
