--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -58,6 +58,11 @@
 
 private:
   absl::Status Open();
+  void CreateController();
+  serving::PeerInstance Self() const
+  {
+    return { this->settings.instance, this->settings.peers, this->settings.zone };
+  }
   Task<void> ServeReadiness(const serving::CallerRequest& aRequest, serving::AnswerWriter& aWriter);
   Task<void> ServeMetrics(serving::AnswerWriter& aWriter);
   Task<void> HandleSignals();
@@ -158,14 +163,11 @@
   this->path.SetMaxSavedRetries(this->settings.spareRetries * kUsedBudgetFraction / shares);
 }
 
-absl::Status
-Gateway::Open()
+void
+Gateway::CreateController()
 {
-  const serving::PeerInstance self{ this->settings.instance,
-                                    this->settings.peers,
-                                    this->settings.zone };
   serving::ControlOptions options;
-  options.self = self;
+  options.self = this->Self();
   options.linkMbps = this->settings.linkMbps;
   options.targetHeartbeat = this->settings.targetHeartbeat;
   options.leaseDuration = this->settings.orderLeaseDuration;
@@ -184,9 +186,15 @@
         this->ApplyUpdate(std::move(update));
       });
     });
+}
+
+absl::Status
+Gateway::Open()
+{
+  this->CreateController();
   auto opened = serving::LoadExchange::Open(
     this->traffic,
-    self,
+    this->Self(),
     this->settings.linkMbps,
     this->path,
     [this](std::vector<serving::PeerState> aPeers, const serving::FleetDemand& aDemand) {
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -228,14 +228,15 @@
 {
   CrashReport report;
   bool isEvidenceRecent = false;
-  for (auto suspect = this->suspects.rbegin(); suspect != this->suspects.rend(); ++suspect) {
-    const bool isRecent = aNow - suspect->at <= kReportTime;
+  // The newest evidence first.
+  std::for_each(this->suspects.rbegin(), this->suspects.rend(), [&](const Suspect& aSuspect) {
+    const bool isRecent = aNow - aSuspect.at <= kReportTime;
     isEvidenceRecent = isEvidenceRecent || isRecent;
-    if (isRecent && suspect->isOwn && report.suspects.size() < kMaxReported) {
+    if (isRecent && aSuspect.isOwn && report.suspects.size() < kMaxReported) {
       report.suspects.push_back(
-        { suspect->target, suspect->parts, Age(suspect->at, aNow), suspect->isRepeat });
+        { aSuspect.target, aSuspect.parts, Age(aSuspect.at, aNow), aSuspect.isRepeat });
     }
-  }
+  });
   for (const auto& [part, record] : this->answered) {
     if (record.reportedFrom.has_value() && aNow - *record.reportedFrom <= kReportTime &&
         report.answered.size() < kMaxReported) {
--- a/tests/src/process-soak.cpp
+++ b/tests/src/process-soak.cpp
@@ -362,7 +362,9 @@
         runs[received.id] += received.ran ? 1U : 0U;
       }
     }
-    for (const auto& [id, request] : this->sent) {
+    for (const auto& entry : this->sent) {
+      const std::string& id = entry.first;
+      const Sent& request = entry.second;
       CAPTURE(id);
       CAPTURE(request.path);
       const int status = request.answer.status;
