--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -78,27 +78,6 @@
   }
 }
 
-std::string
-FormatMilliseconds(core::MonotonicTime aFrom, core::MonotonicTime aTo)
-{
-  return std::to_string(std::chrono::duration_cast<milliseconds>(aTo - aFrom).count());
-}
-
-// Logs a request that is sent although the target has said that it wants none.
-void
-LogUnwantedRequest(PathContext& aContext, const Target& aTarget, AttemptStep aStep)
-{
-  const core::MonotonicTime now = aContext.clock.Now();
-  if (const auto since = aContext.notices.LeavingSince(ProcessOf(aTarget))) {
-    aContext.metrics.Count("sent_to_leaving_total", aTarget.service.Text());
-    core::Log(core::LogLevel::kWarning,
-              "request sent to a leaving target",
-              { { "target", aTarget.id.Text() },
-                { "step", std::string(StepName(aStep)) },
-                { "announced_ms_ago", FormatMilliseconds(*since, now) } });
-  }
-}
-
 } // namespace
 
 void
@@ -342,7 +321,6 @@
   this->request.mayHaveRun = ranBefore || runsRequest;
   ++this->request.attempts;
   this->request.sentTo.push_back(this->target.id);
-  LogUnwantedRequest(this->context, this->target, aPlan.step);
   std::string requestHead = this->RequestHead(aPlan);
   const absl::Status sent =
     co_await this->call->Send(std::move(requestHead), this->request.caller.body);
--- a/tests/src/unit-wire.cpp
+++ b/tests/src/unit-wire.cpp
@@ -205,6 +205,7 @@
   CHECK(protocol.ReadResponse(200, { { "server-leaving", "1" } }).leaving);
   CHECK_FALSE(protocol.ReadResponse(200, { { "Server-Leaving", "0" } }).leaving);
   CHECK_FALSE(protocol.ReadResponse(200, {}).leaving);
+  CHECK_FALSE(protocol.ReadResponse(421, { { "Server-Leaving", "1" } }).leaving);
   CHECK(protocol.ReadResponse(200, { { "Server-Limit", "9.5" } }).requestsPerSecond == 9.5);
   CHECK_FALSE(protocol.ReadResponse(200, { { "Server-Limit", "-1" } }).requestsPerSecond);
   CHECK_FALSE(protocol.ReadResponse(200, { { "Server-Limit", "nan" } }).requestsPerSecond);
