--- a/include/plantainslip/serving/directory.hpp
+++ b/include/plantainslip/serving/directory.hpp
@@ -85,6 +85,12 @@
     bool announced = false;
     StorePosition position;
   };
+  /// @brief Removal that is assumed to be an expired lease.
+  struct Lapse
+  {
+    StorePosition position;
+    core::MonotonicTime keptUntil;
+  };
   /// @brief Entry of a process that was gone before the store came back from a copy.
   struct Leftover
   {
@@ -102,7 +108,7 @@
   milliseconds entryLifetime;
   std::map<core::TargetId, Target> targets;
   std::map<core::TargetId, StorePosition> positions;
-  std::map<core::TargetId, core::MonotonicTime> graceDeadlines;
+  std::map<core::TargetId, Lapse> lapses;
   std::map<TargetProcess, Departure> departures;
   std::map<core::TargetId, Leftover> leftovers;
   /// @brief Position of the first full list of the present era; changes up to it may come from the
--- a/include/plantainslip/serving/store_items.hpp
+++ b/include/plantainslip/serving/store_items.hpp
@@ -7,9 +7,9 @@
 
 namespace plantainslip::serving {
 
-/// @brief Generation of the store's data. It grows by one each time the store comes back from a
-/// copy
-///        that lacks the newest changes; zero if the store does not state it.
+/// @brief Generation of the store's data; zero if the store does not state it.
+///
+/// Grows by one each time the store comes back from a copy that lacks the newest changes.
 using StoreEra = core::StrongNumber<struct StoreEraTag>;
 
 /// @brief Id of a store lease; may be given out again in a later era.
--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -51,14 +51,14 @@
   if (found == this->targets.end()) {
     return false;
   }
-  this->RecordDeparture(found->second, aPosition);
   if (this->outageAt.has_value() && aNow - *this->outageAt <= kOutageWindow) {
-    this->graceDeadlines.try_emplace(aId, aNow + kLapseGracePeriod);
+    this->lapses.try_emplace(aId, Lapse{ aPosition, aNow + kLapseGracePeriod });
     return false;
   }
-  if (this->graceDeadlines.contains(aId)) {
+  if (this->lapses.contains(aId)) {
     return false;
   }
+  this->RecordDeparture(found->second, aPosition);
   this->targets.erase(found);
   return true;
 }
@@ -77,7 +77,7 @@
   std::erase_if(this->targets, [&](const auto& aEntry) {
     const bool superseded = Supersedes(aReplacement, aEntry.second);
     if (superseded) {
-      this->graceDeadlines.erase(aEntry.first);
+      this->lapses.erase(aEntry.first);
     }
     return superseded;
   });
@@ -110,7 +110,7 @@
   if (aChange.removed) {
     return this->Remove(aChange.id, aChange.position, aNow);
   }
-  this->graceDeadlines.erase(aChange.id);
+  this->lapses.erase(aChange.id);
   this->leftovers.erase(aChange.id);
   if (!aChange.target.has_value()) {
     return this->targets.erase(aChange.id) > 0;
@@ -170,9 +170,14 @@
 Directory::ApplyDeadlines(core::MonotonicTime aNow)
 {
   bool changed = false;
-  std::erase_if(this->graceDeadlines, [&](const auto& aEntry) {
-    const bool expired = aNow >= aEntry.second;
-    changed = (expired && this->targets.erase(aEntry.first) > 0) || changed;
+  std::erase_if(this->lapses, [&](const auto& aEntry) {
+    const auto found = this->targets.find(aEntry.first);
+    const bool expired = aNow >= aEntry.second.keptUntil;
+    if (expired && found != this->targets.end()) {
+      this->RecordDeparture(found->second, aEntry.second.position);
+      this->targets.erase(found);
+      changed = true;
+    }
     return expired;
   });
   std::erase_if(this->leftovers, [&](const auto& aEntry) {
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -223,6 +223,15 @@
       CHECK_FALSE(isUsable());
     }
   }
+  SUBCASE("uses a process at once whose entry seemed to have lapsed in an outage")
+  {
+    directory.RecordOutage(now);
+    directory.Apply(Removal("t", 7), now);
+    directory.ApplyAll({ entry(5, 2, 100) }, At(6, 2), now + 1s);
+    CHECK(isUsable());
+    directory.ApplyDeadlines(now + 1h);
+    CHECK(isUsable());
+  }
   SUBCASE("uses a process at once that had come back before")
   {
     directory.Apply(Removal("t", 7), now);
