Log how the end of a response is marked, and streams that end with their connection

A caller got a broken-off answer as complete, and the log has the same line for it as for a whole one. `request ended` now has the framing of the last response, and a stream without a length leaves a line that says whether it ended inside an event.

--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -338,6 +338,7 @@
   attempt.head = std::move(*head);
   attempt.state = AttemptState::kAnswered;
   this->status = attempt.head.status;
+  this->request.framing = FramingName(attempt.head.framing);
   const bool success = IsSuccess(this->status);
   if (attempt.info.notRun) {
     attempt.state = AttemptState::kNotRun;
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -77,6 +77,7 @@
   std::optional<Target> NextDecodeEngine(const Target& aEngine, const Attempt& aAttempt);
   Task<void> CompleteAnswer(AttemptCall& aCall, const Attempt& aAttempt);
   Task<StreamOutcome> RelayStream(AttemptCall& aCall, const Attempt& aAttempt);
+  void LogUnframedEnd(const Attempt& aAttempt) const;
   Task<bool> Forward(const Attempt& aAttempt, std::string aBytes);
   bool TakeRetryIfAttemptsRemain();
   bool TakeRetryIfResumable();
@@ -366,23 +367,45 @@
   while (true) {
     std::string bytes;
     const absl::StatusOr<bool> more = co_await aCall.ReadSome(bytes);
+    std::string completeEvents = this->events.ExtractComplete(bytes);
     if (wholeEvents) {
-      bytes = this->events.ExtractComplete(bytes);
+      bytes = std::move(completeEvents);
     }
     const bool forwarded = co_await this->Forward(aAttempt, std::move(bytes));
     if (!forwarded) {
       this->request.cancellation.Cancel(CancelReason::kCallerLeft);
       co_return StreamOutcome::kCallerGone;
     }
-    if (!more.ok() || this->events.IsOversized()) {
+    if (!more.ok() || (wholeEvents && this->events.IsOversized())) {
       co_return StreamOutcome::kBroken;
     }
+    if (this->events.IsOversized()) {
+      this->events.DropPartial();
+    }
     if (!*more) {
-      co_return this->events.HasPartial() ? StreamOutcome::kBroken : StreamOutcome::kComplete;
+      this->LogUnframedEnd(aAttempt);
+      const bool broken = wholeEvents && this->events.HasPartial();
+      co_return broken ? StreamOutcome::kBroken : StreamOutcome::kComplete;
     }
   }
 }
 
+void
+Completion::LogUnframedEnd(const Attempt& aAttempt) const
+{
+  if (aAttempt.head.framing != BodyFraming::kConnectionEnd) {
+    return;
+  }
+  this->context.metrics.Count("unframed_ends_total", this->request.route.name);
+  core::Log(core::LogLevel::kInfo,
+            "stream ended with its connection",
+            { { "request", this->request.info.id.Text() },
+              { "target", this->request.sentTo.back().Text() },
+              { "status", std::to_string(aAttempt.head.status) },
+              { "pieces", std::to_string(this->request.chunks) },
+              { "inside_event", this->events.HasPartial() ? "yes" : "no" } });
+}
+
 // Completes the caller's answer.
 Task<void>
 Completion::CompleteAnswer(AttemptCall& aCall, const Attempt& aAttempt)
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -163,6 +163,8 @@
   core::TargetId prefillEngine = {};
   std::size_t prefillPriority = 0;
   double engineQueuedTokens = 0.0;
+  /// @brief How the end of the last response's body is marked; empty before a response.
+  std::string_view framing = {};
   /// @brief Time from the request's arrival to the first chunk of its answer.
   milliseconds timeToFirstChunk{ 0 };
   /// @brief Number of forwarded chunks of a stream, and the time of the last one.
--- a/src/serving/target_call.cpp
+++ b/src/serving/target_call.cpp
@@ -40,6 +40,20 @@
 
 } // namespace
 
+std::string_view
+FramingName(BodyFraming aFraming)
+{
+  switch (aFraming) {
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kConnectionEnd:
+      return "connection_end";
+    case BodyFraming::kLength:
+      break;
+  }
+  return "length";
+}
+
 TargetCall::TargetCall(std::unique_ptr<OutgoingConnection> aConnection,
                        std::string aRequestId,
                        std::string_view aIdHeader,
@@ -140,6 +154,11 @@
     }
     ResponseHead head;
     head.status = status;
+    if (this->parser->chunked()) {
+      head.framing = BodyFraming::kChunked;
+    } else if (this->parser->need_eof()) {
+      head.framing = BodyFraming::kConnectionEnd;
+    }
     for (const auto& field : message) {
       const auto name = field.name_string();
       const auto value = field.value();
--- a/src/serving/target_call.hpp
+++ b/src/serving/target_call.hpp
@@ -15,11 +15,26 @@
 
 namespace plantainslip::serving {
 
+/// @brief How the end of a response's body is marked.
+enum class BodyFraming
+{
+  /// @brief By a stated length, or there is no body.
+  kLength,
+  kChunked,
+  /// @brief By nothing but the end of the connection.
+  kConnectionEnd,
+};
+
+/// @brief Returns the name of a framing for the log.
+std::string_view
+FramingName(BodyFraming aFraming);
+
 /// @brief Head of a response.
 struct ResponseHead
 {
   int status = 0;
   HeaderList headers;
+  BodyFraming framing = BodyFraming::kLength;
 };
 
 /// @brief One request on one connection, and its response as it is received.
