Look for whole events in every event stream, not only in streams that may be resumed

Callers of history-quote and access-flag got half an event and then the last chunk, as after a whole answer; callers of all streams got 200 with an empty body if the target ended before the first event. Cause: RelayStream split events only on routes that may be resumed, so on the others an incomplete event was never noticed, and no route asked whether a stream without an end mark had begun at all. Change: what is an event stream by its media type is forwarded in whole events on each route; one that ends inside an event, or without an end mark before its first event, has broken off.

--- a/include/plantainslip/serving/event_stream.hpp
+++ b/include/plantainslip/serving/event_stream.hpp
@@ -3,12 +3,19 @@
 #include <string>
 #include <string_view>
 
+#include <plantainslip/serving/target_protocol.hpp>
+
 namespace plantainslip::serving {
 
+/// @brief Returns whether a response's media type is `text/event-stream`.
+bool
+IsEventStream(const HeaderList& aHeaders);
+
 /// @brief Splits an event stream (`text/event-stream`) at event boundaries.
 ///
 /// Guards against targets that fail in the middle of an event: only complete events are forwarded,
-/// so another target can continue the stream without a gap or a duplicate.
+/// so the caller never gets part of one, and another target can continue the stream without a gap
+/// or a duplicate.
 class EventStream
 {
 public:
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -363,29 +363,31 @@
 Task<Completion::StreamOutcome>
 Completion::RelayStream(AttemptCall& aCall, const Attempt& aAttempt)
 {
-  const bool wholeEvents = this->request.route.resumable && aAttempt.head.status == kOk;
+  const bool wholeEvents = IsEventStream(aAttempt.head.headers) ||
+                           (this->request.route.resumable && aAttempt.head.status == kOk);
+  bool hasEvent = false;
   while (true) {
     std::string bytes;
     const absl::StatusOr<bool> more = co_await aCall.ReadSome(bytes);
-    std::string completeEvents = this->events.ExtractComplete(bytes);
     if (wholeEvents) {
-      bytes = std::move(completeEvents);
+      bytes = this->events.ExtractComplete(bytes);
+      hasEvent = hasEvent || !bytes.empty();
     }
     const bool forwarded = co_await this->Forward(aAttempt, std::move(bytes));
     if (!forwarded) {
       this->request.cancellation.Cancel(CancelReason::kCallerLeft);
       co_return StreamOutcome::kCallerGone;
     }
-    if (!more.ok() || (wholeEvents && this->events.IsOversized())) {
+    if (!more.ok() || this->events.IsOversized()) {
       co_return StreamOutcome::kBroken;
     }
-    if (this->events.IsOversized()) {
-      this->events.DropPartial();
-    }
     if (!*more) {
       this->LogUnframedEnd(aAttempt);
-      const bool broken = wholeEvents && this->events.HasPartial();
-      co_return broken ? StreamOutcome::kBroken : StreamOutcome::kComplete;
+      // Without an end mark, a stream that has not begun cannot have ended.
+      const bool neverBegan =
+        wholeEvents && !hasEvent && aAttempt.head.framing == BodyFraming::kConnectionEnd;
+      co_return this->events.HasPartial() || neverBegan ? StreamOutcome::kBroken
+                                                        : StreamOutcome::kComplete;
     }
   }
 }
--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -7,6 +7,14 @@
 
 namespace plantainslip::serving {
 
+bool
+IsEventStream(const HeaderList& aHeaders)
+{
+  const std::string* const type = FindHeader(aHeaders, "Content-Type");
+  return type != nullptr &&
+         EqualIgnoringCase(type->substr(0, type->find_first_of("; ")), "text/event-stream");
+}
+
 std::string
 EventStream::ExtractComplete(std::string_view aBytes)
 {
