Take the end of a connection for the end of an answer only if the target lives

Callers got a stream cut between two events, or half a plain answer, as a complete one when the target's process ended in it; and such an end left no evidence, neither for the target's health nor for the quarantine. Cause: the system closes the connections of a process that dies with FIN, as the process itself does after an answer without a length; nothing asked who had closed it. Change: a body that only the end of its connection marks is followed by one connection attempt, whose connection is kept for reuse. Refused means that the process has ended: the answer has broken off (1502), which is evidence as any other lost connection. Streams, resumed ones, plain answers and prefill responses all go through it. A target that cannot be asked counts as alive.

--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -245,11 +245,29 @@
   }
 }
 
+Task<absl::Status>
+AttemptCall::CheckBodyEnd()
+{
+  // The system closes the connections of a process that crashes in the same way as the process
+  // itself does at the end of a response.
+  const bool mayBeCut = this->framing == BodyFraming::kConnectionEnd;
+  if (mayBeCut && co_await this->context.pool.IsConnectionRefused(this->target.address)) {
+    this->context.metrics.Count("unframed_responses_cut_total", this->request.route.name);
+    co_return core::MakeError(errors::kConnectionLost, "the target ended with its response");
+  }
+  co_return absl::OkStatus();
+}
+
 Task<absl::StatusOr<bool>>
 AttemptCall::ReadSome(std::string& aBody)
 {
   const std::size_t sizeBefore = aBody.size();
   absl::StatusOr<bool> more = co_await this->call->ReadSome(aBody);
+  if (more.ok() && !*more) {
+    if (const absl::Status ended = co_await this->CheckBodyEnd(); !ended.ok()) {
+      more = ended;
+    }
+  }
   if (!this->hasBody && aBody.size() > sizeBefore) {
     this->RecordBeginning();
   }
@@ -338,7 +356,8 @@
   attempt.head = std::move(*head);
   attempt.state = AttemptState::kAnswered;
   this->status = attempt.head.status;
-  this->request.framing = FramingName(attempt.head.framing);
+  this->framing = attempt.head.framing;
+  this->request.framing = FramingName(this->framing);
   const bool success = IsSuccess(this->status);
   if (attempt.info.notRun) {
     attempt.state = AttemptState::kNotRun;
@@ -374,6 +393,11 @@
 AttemptCall::ReadAll()
 {
   auto body = co_await this->call->ReadAll(kMaxBufferedBodyBytes);
+  if (body.ok()) {
+    if (const absl::Status ended = co_await this->CheckBodyEnd(); !ended.ok()) {
+      body = ended;
+    }
+  }
   if (body.ok() && !body->empty()) {
     this->RecordBeginning();
   }
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -73,6 +73,10 @@
   ///        and takes this request, which then counts for its rate limit.
   bool ClaimRequest();
   Task<absl::StatusOr<std::string>> ReadAll();
+  /// @brief Checks, at the end of a body that nothing but the end of the connection marks, that the
+  ///        target's process has not ended with it.
+  /// @return OK, or error 1502 (serving.connection_lost)
+  Task<absl::Status> CheckBodyEnd();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
   void CheckTargetAfter(const absl::Status& aFailure);
   void RecordBeginning();
@@ -87,6 +91,7 @@
   std::unique_ptr<TargetCall> call;
   AttemptStep step = AttemptStep::kWhole;
   int status = 0;
+  BodyFraming framing = BodyFraming::kLength;
   /// @brief Whether a part of the body was received.
   bool hasBody = false;
 };
