Reset the connection of an HTTP/1.0 caller whose stream is broken off

A caller without chunked encoding reads to the end of its connection, and an aborted stream closed it with FIN, like a whole one. Cause: Abort() only closes the socket; what tells the two apart, the last chunk, does not exist for such a caller. Change: from the head of such a stream to its end the socket is set to reset when it is closed, so that a kill of this process resets it too. Result: "a broken stream does not look complete to a caller that reads to the connection's end" failed, now passes.

--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -274,6 +274,13 @@
   this->Close();
 }
 
+void
+CallerSession::SetResetOnClose(bool aReset)
+{
+  ErrorCode ignored;
+  this->socket.set_option(asio::socket_base::linger(aReset, 0), ignored);
+}
+
 Task<bool>
 CallerSession::Write(std::string aBytes)
 {
@@ -318,6 +325,7 @@
     aHeaders.push_back({ "Connection", "close" });
   }
   this->answerStarted = true;
+  this->SetResetOnClose(!this->chunked);
   std::string head = FormatResponseHead(aStatus, aHeaders);
   const bool written = co_await this->Write(std::move(head));
   co_return written;
@@ -335,6 +343,7 @@
 CallerSession::EndStream()
 {
   this->answerComplete = true;
+  this->SetResetOnClose(false);
   if (this->chunked) {
     std::string lastChunk = "0\r\n\r\n";
     this->answerComplete = co_await this->Write(std::move(lastChunk));
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -46,6 +46,10 @@
   Task<void> ServeOne(const CallerRequest& aRequest);
   Task<void> WatchForDisconnect();
   Task<void> StopDisconnectWatch();
+  /// @brief Sets whether the connection is reset when it is closed, also by the end of this
+  /// process,
+  ///        so that a caller that reads to the end of the connection notices.
+  void SetResetOnClose(bool aReset);
   Task<bool> Write(std::string aBytes);
   Task<void> CloseGracefully();
 
