Own interface: a service's answer that ends with its process is not complete

Same cause as on the users' platform: an answer without a length was complete once its connection had ended, whoever ended it. The blocking client asks by one connection attempt, as AttemptCall does. Streams of engines are not affected, as they end with an end marker.

--- a/src/net/http_stream.cpp
+++ b/src/net/http_stream.cpp
@@ -54,11 +54,11 @@
   absl::Status Connect(const Address& aAddress, const HttpRequest& aRequest)
   {
     beast::error_code failure;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(aAddress.host, failure),
-                                           aAddress.port);
+    this->endpoint =
+      asio::ip::tcp::endpoint(asio::ip::make_address(aAddress.host, failure), aAddress.port);
     if (!failure) {
       this->stream.expires_after(aRequest.timeout);
-      this->stream.async_connect(endpoint, [&](beast::error_code aCode) { failure = aCode; });
+      this->stream.async_connect(this->endpoint, [&](beast::error_code aCode) { failure = aCode; });
       this->RunPendingOperation();
     }
     if (failure) {
@@ -113,10 +113,24 @@
         return std::string(chunk.data(), bytesRead);
       }
     }
+    // Without a stated length, the end of the server's process looks like the end of its answer.
+    if (this->parser.need_eof() && this->IsConnectionRefused(aTimeout)) {
+      return core::MakeError(errors::kNoAnswer, "the server ended with its answer");
+    }
     return std::optional<std::string>();
   }
 
 private:
+  bool IsConnectionRefused(std::chrono::milliseconds aTimeout)
+  {
+    beast::error_code failure;
+    beast::tcp_stream probe(this->context);
+    probe.expires_after(aTimeout);
+    probe.async_connect(this->endpoint, [&](beast::error_code aCode) { failure = aCode; });
+    this->RunPendingOperation();
+    return failure == asio::error::connection_refused;
+  }
+
   absl::Status SetUnacknowledgedTimeout(std::chrono::milliseconds aTimeout)
   {
     if (aTimeout.count() == 0) {
@@ -138,6 +152,7 @@
   }
 
   asio::io_context context;
+  asio::ip::tcp::endpoint endpoint;
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   http::response_parser<http::buffer_body> parser;
