Log a digest that is the same for all attempts of one request

No line said that two requests are the same one, so a request that comes again and ends target after target could not be told from bystanders. `request ended`, `target ended during a request` and `connection lost during a request` have the digest of method, path, host, credentials and body. No logic changes.

--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -50,6 +50,7 @@
   Target target;
   AttemptStep step = AttemptStep::kWhole;
   core::RequestId request;
+  RequestDigest digest;
   std::optional<PromptInfo> prompt;
   core::MonotonicTime at;
   /// @brief Whether an attempt of the same request was lost before.
@@ -70,6 +71,7 @@
               { "service", service },
               { "step", std::string(StepName(aLost.step)) },
               { "request", aLost.request.Text() },
+              { "digest", FormatDigest(aLost.digest) },
               { "parts", FormatParts(aLost.prompt) } });
   if (ended && aLost.prompt.has_value()) {
     const PromptQuarantine::Crash crash{ aLost.target.id, aLost.at, aLost.isRepeat };
@@ -224,6 +226,7 @@
   LostAttempt lost{ this->target,
                     this->step,
                     this->request.info.id,
+                    this->request.digest,
                     this->request.info.prompt,
                     this->context.clock.Now(),
                     this->request.lostConnections > 0 };
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -10,6 +10,7 @@
 #include <plantainslip/retries/retry_policy.hpp>
 #include <plantainslip/serving/placement.hpp>
 #include <plantainslip/serving/prompt_quarantine.hpp>
+#include <plantainslip/serving/request_digest.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
 
 #include "connection_pool.hpp"
@@ -170,6 +171,8 @@
   /// @brief Number of forwarded chunks of a stream, and the time of the last one.
   std::uint64_t chunks = 0;
   core::MonotonicTime lastChunkAt = {};
+  /// @brief Identifies the request across its caller's attempts.
+  RequestDigest digest = {};
 };
 
 /// @brief Returns the targets that a request must not be sent to again: tried or unreachable.
--- /dev/null
+++ b/src/serving/request_digest.cpp
@@ -0,0 +1,44 @@
+#include <plantainslip/serving/request_digest.hpp>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_format.h>
+#include <xxhash.h>
+
+namespace plantainslip::serving {
+
+namespace {
+
+// Hashes the length too, so that the border between two texts counts.
+std::uint64_t
+AddText(std::string_view aText, std::uint64_t aHash)
+{
+  const std::uint64_t length = aText.size();
+  return XXH64(aText.data(), aText.size(), XXH64(&length, sizeof(length), aHash));
+}
+
+} // namespace
+
+RequestDigest
+DigestRequest(std::string_view aMethod,
+              std::string_view aTarget,
+              const HeaderList& aHeaders,
+              std::string_view aBody)
+{
+  const auto fieldOrEmpty = [&](std::string_view aName) {
+    const std::string* const value = FindHeader(aHeaders, aName);
+    return value == nullptr ? std::string() : *value;
+  };
+  std::uint64_t hash = AddText(aMethod, 0);
+  hash = AddText(aTarget, hash);
+  hash = AddText(absl::AsciiStrToLower(fieldOrEmpty("Host")), hash);
+  hash = AddText(fieldOrEmpty("Authorization"), hash);
+  return RequestDigest(AddText(aBody, hash));
+}
+
+std::string
+FormatDigest(RequestDigest aDigest)
+{
+  return absl::StrFormat("%016x", aDigest.Number());
+}
+
+} // namespace plantainslip::serving
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -107,6 +107,7 @@
       { "attempts", std::to_string(aRequest.attempts) },
       { "target", aRequest.sentTo.empty() ? "" : aRequest.sentTo.back().Text() },
       { "tried", FormatTargets(aRequest.sentTo) },
+      { "digest", FormatDigest(aRequest.digest) },
       { "parts", FormatParts(aRequest.info.prompt) },
       { "took_ms", std::to_string(duration.count()) },
       { "prefill_engine", aRequest.prefillEngine.Text() },
@@ -285,6 +286,7 @@
                        aRequest.arrival + timeLimit,
                        {},
                        {} };
+  request.digest = DigestRequest(aRequest.method, aRequest.target, aRequest.headers, aRequest.body);
   aContext.metrics.Count("requests_total", route->name);
   if (service == nullptr) {
     std::string reason = "no_service";
