--- a/tests/fakes/wire_target.cpp
+++ b/tests/fakes/wire_target.cpp
@@ -64,6 +64,13 @@
   this->fatalPart = std::move(aPart);
 }
 
+void
+WireTarget::SetFatalPath(std::string aPath)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->fatalPath = std::move(aPath);
+}
+
 void
 WireTarget::SetRateLimit(std::string aRequestsPerSecond)
 {
@@ -135,8 +142,9 @@
   const std::scoped_lock lock(this->mutex);
   const bool prefill = HeaderOrEmpty(aRequest, "X-Serving-Stage") == "prefill";
   const std::string parts = "," + HeaderOrEmpty(aRequest, "X-Prompt-Prefix");
-  return !this->fatalPart.empty() && !prefill &&
-         parts.find("," + this->fatalPart + ":") != std::string::npos;
+  const bool hasFatalPart =
+    !this->fatalPart.empty() && parts.find("," + this->fatalPart + ":") != std::string::npos;
+  return !prefill && (hasFatalPart || aRequest.target == this->fatalPath);
 }
 
 // Ends like a process that crashes after the head of its response.
--- a/tests/fakes/wire_target.hpp
+++ b/tests/fakes/wire_target.hpp
@@ -70,6 +70,10 @@
   ///        all connections end, and new ones are refused.
   void SetFatalPart(std::string aPart);
 
+  /// @brief Sets a path whose requests end the target when it begins to run them, as with
+  ///        SetFatalPart().
+  void SetFatalPath(std::string aPath);
+
   /// @brief Sets whether the target states in all its responses that it is leaving.
   void SetLeaving(bool aLeaving);
 
@@ -127,6 +131,7 @@
   int reportStatus = 200;
   bool released = false;
   std::string fatalPart;
+  std::string fatalPath;
   std::string retryAfter;
   std::string rateLimit;
   bool leaving = false;
