Quarantine a request that its caller repeats and that ends each target that runs it

Cause: the quarantine knew prompts by their shared parts only. A repeated request's parts are answered in other requests, which cleared them, and a plain request left no evidence at all. Class: the key of the evidence is not what repeats. Change: PromptQuarantine becomes RequestQuarantine, which knows requests by traits: shared prompt parts, and a digest of method, path, host, credentials and body. The most specific explanation still wins, so the crashes of a repeated request do not count against parts that sound prompts share; a quarantine of one request is widened to its parts by two further crashes, not one. Attempts of one request need no answer of others in between. Plain requests leave evidence and are asked for. An answer counts from its first whole event, or from its end where there are none.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -49,7 +49,7 @@
       this->settings.zone
     }
   {
-    this->path.quarantine = serving::PromptQuarantine(aOptions.quarantine);
+    this->path.quarantine = serving::RequestQuarantine(aOptions.quarantine);
     this->path.retryOptions.retriesPerRequest = aSettings.retriesPerRequest * kUsedBudgetFraction;
     this->UpdateRetryBudget(0);
   }
--- a/apps/gateway/gateway.hpp
+++ b/apps/gateway/gateway.hpp
@@ -4,7 +4,7 @@
 
 #include <absl/status/status.h>
 
-#include <plantainslip/serving/prompt_quarantine.hpp>
+#include <plantainslip/serving/request_quarantine.hpp>
 #include <plantainslip/serving/stage_plan.hpp>
 
 #include "settings.hpp"
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -49,22 +49,22 @@
          "Price of an order to change an engine's stage, in requests",
          group)
     ->check(CLI::Range(0.0, kMaxRequestsPerOrder));
-  const std::string quarantineGroup = "Quarantine of prompt parts";
+  const std::string quarantineGroup = "Quarantine of requests";
   constexpr std::size_t kMinCrashes = 2;
   constexpr std::size_t kMaxCrashes = 100;
   constexpr unsigned kMaxQuarantineSeconds = 3'600;
   aLine
     .Add("quarantine-after-crashes",
          aFlags.options.quarantine.minCrashes,
-         "Ended targets, with other answers in between, from which a prompt part that was seen at "
-         "all of them is kept from targets",
+         "Ended targets, with other answers in between, from which a prompt part or a repeated "
+         "request that was seen at all of them is kept from targets",
          quarantineGroup)
     ->check(CLI::Range(kMinCrashes, kMaxCrashes));
   aLine
     .Add("quarantine-s",
          aFlags.quarantineSeconds,
-         "Seconds for which evidence against a prompt part counts, and for which its quarantine "
-         "outlasts the last request with it",
+         "Seconds for which evidence against a prompt part or a request counts, and for which its "
+         "quarantine outlasts the last request with it",
          quarantineGroup)
     ->check(CLI::Range(1U, kMaxQuarantineSeconds));
 }
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -6,7 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <plantainslip/serving/load_tracker.hpp>
-#include <plantainslip/serving/prompt_quarantine.hpp>
+#include <plantainslip/serving/request_quarantine.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
 #include <plantainslip/serving/target_limits.hpp>
 
@@ -38,7 +38,7 @@
   std::vector<RateStatement> limits;
   /// @brief Demand that the sender has seen since its start.
   DemandTable demand;
-  /// @brief Recent evidence about prompts that end targets.
+  /// @brief Recent evidence about requests that end targets.
   CrashReport crashes;
 };
 
--- a/include/plantainslip/serving/request_digest.hpp
+++ b/include/plantainslip/serving/request_digest.hpp
@@ -18,9 +18,4 @@
               std::string_view aTarget,
               const HeaderList& aHeaders,
               std::string_view aBody);
-
-/// @brief Formats a digest for the log.
-std::string
-FormatDigest(RequestDigest aDigest);
-
 } // namespace plantainslip::serving
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -44,7 +44,7 @@
   return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
 }
 
-/// @brief An attempt whose connection was lost before any part of the body was received.
+/// @brief An attempt whose connection was lost before its answer had begun.
 struct LostAttempt
 {
   Target target;
@@ -52,12 +52,13 @@
   core::RequestId request;
   RequestDigest digest;
   std::optional<PromptInfo> prompt;
+  TraitSet traits;
   core::MonotonicTime at;
   /// @brief Whether an attempt of the same request was lost before.
   bool isRepeat = false;
 };
 
-// Tells the end of a target's process, which is evidence against the prompt, from the loss of one
+// Tells the end of a target's process, which is evidence against the request, from the loss of one
 // connection.
 Task<void>
 CheckTarget(PathContext& aContext, LostAttempt aLost)
@@ -71,11 +72,11 @@
               { "service", service },
               { "step", std::string(StepName(aLost.step)) },
               { "request", aLost.request.Text() },
-              { "digest", FormatDigest(aLost.digest) },
+              { "digest", FormatTraits({ Trait::OfRequest(aLost.digest) }) },
               { "parts", FormatParts(aLost.prompt) } });
-  if (ended && aLost.prompt.has_value()) {
-    const PromptQuarantine::Crash crash{ aLost.target.id, aLost.at, aLost.isRepeat };
-    aContext.quarantine.RecordCrash(crash, *aLost.prompt, aContext.clock.Now());
+  if (ended) {
+    const RequestQuarantine::Crash crash{ aLost.target.id, aLost.at, aLost.isRepeat };
+    aContext.quarantine.RecordCrash(crash, aLost.traits, aContext.clock.Now());
     LogQuarantineChanges(aContext);
   }
 }
@@ -85,12 +86,12 @@
 void
 LogQuarantineChanges(PathContext& aContext)
 {
-  for (const PromptQuarantine::Change& change : aContext.quarantine.TakeChanges()) {
+  for (const RequestQuarantine::Change& change : aContext.quarantine.TakeChanges()) {
     aContext.metrics.Count("quarantine_changes_total",
                            change.quarantined ? "quarantined" : "released");
     core::Log(core::LogLevel::kWarning,
-              change.quarantined ? "prompt parts quarantined" : "prompt parts released",
-              { { "parts", FormatPartIds(change.parts) },
+              change.quarantined ? "requests quarantined" : "requests released",
+              { { "traits", FormatTraits(change.traits) },
                 { "ended_targets", std::to_string(change.crashes) } });
   }
 }
@@ -220,7 +221,7 @@
 void
 AttemptCall::CheckTargetAfter(const absl::Status& aFailure)
 {
-  if (this->hasBody || !core::IsError(aFailure, errors::kConnectionLost)) {
+  if (this->hasAnswer || !core::IsError(aFailure, errors::kConnectionLost)) {
     return;
   }
   LostAttempt lost{ this->target,
@@ -228,6 +229,7 @@
                     this->request.info.id,
                     this->request.digest,
                     this->request.info.prompt,
+                    this->request.traits,
                     this->context.clock.Now(),
                     this->request.lostConnections > 0 };
   ++this->request.lostConnections;
@@ -236,14 +238,12 @@
   });
 }
 
-// Records that the target has begun to answer: the prompt does not end it.
 void
-AttemptCall::RecordBeginning()
+AttemptCall::RecordAnswer()
 {
-  this->hasBody = true;
-  const bool isAnswer = this->step != AttemptStep::kPrefill && IsSuccess(this->status);
-  if (isAnswer && this->request.info.prompt.has_value()) {
-    this->context.quarantine.RecordAnswer(*this->request.info.prompt, this->context.clock.Now());
+  this->hasAnswer = true;
+  if (this->step != AttemptStep::kPrefill && IsSuccess(this->status)) {
+    this->context.quarantine.RecordAnswer(this->request.traits, this->context.clock.Now());
     LogQuarantineChanges(this->context);
   }
 }
@@ -264,16 +264,12 @@
 Task<absl::StatusOr<bool>>
 AttemptCall::ReadSome(std::string& aBody)
 {
-  const std::size_t sizeBefore = aBody.size();
   absl::StatusOr<bool> more = co_await this->call->ReadSome(aBody);
   if (more.ok() && !*more) {
     if (const absl::Status ended = co_await this->CheckBodyEnd(); !ended.ok()) {
       more = ended;
     }
   }
-  if (!this->hasBody && aBody.size() > sizeBefore) {
-    this->RecordBeginning();
-  }
   this->CheckTargetAfter(more.status());
   co_return more;
 }
@@ -401,8 +397,8 @@
       body = ended;
     }
   }
-  if (body.ok() && !body->empty()) {
-    this->RecordBeginning();
+  if (body.ok()) {
+    this->RecordAnswer();
   }
   this->CheckTargetAfter(body.status());
   co_return body;
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -60,6 +60,10 @@
   /// @brief Reads the next part of the body; only after kAnswered. See TargetCall::ReadSome().
   Task<absl::StatusOr<bool>> ReadSome(std::string& aBody);
 
+  /// @brief Records that the target has run the request, at the first event of a stream or the end
+  ///        of another answer: the request does not end it. Called by ReadRemainingBody().
+  void RecordAnswer();
+
   /// @brief Removes the timeout, so that only the caller's deadline limits the body.
   void ClearTimeLimit() { this->limit.reset(); }
 
@@ -79,7 +83,6 @@
   Task<absl::Status> CheckBodyEnd();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
   void CheckTargetAfter(const absl::Status& aFailure);
-  void RecordBeginning();
 
   PathContext& context;
   PathRequest& request;
@@ -92,11 +95,11 @@
   AttemptStep step = AttemptStep::kWhole;
   int status = 0;
   BodyFraming framing = BodyFraming::kLength;
-  /// @brief Whether a part of the body was received.
-  bool hasBody = false;
+  /// @brief Whether RecordAnswer() was called.
+  bool hasAnswer = false;
 };
 
-/// @brief Logs which prompt parts were quarantined or released since the last call.
+/// @brief Logs which traits were quarantined or released since the last call.
 void
 LogQuarantineChanges(PathContext& aContext);
 
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -365,13 +365,16 @@
 {
   const bool wholeEvents = IsEventStream(aAttempt.head.headers) ||
                            (this->request.route.resumable && aAttempt.head.status == kOk);
-  bool hasEvent = false;
+  bool hasBegun = false;
   while (true) {
     std::string bytes;
     const absl::StatusOr<bool> more = co_await aCall.ReadSome(bytes);
     if (wholeEvents) {
       bytes = this->events.ExtractComplete(bytes);
-      hasEvent = hasEvent || !bytes.empty();
+    }
+    if (!hasBegun && !bytes.empty()) {
+      hasBegun = true;
+      aCall.RecordAnswer();
     }
     const bool forwarded = co_await this->Forward(aAttempt, std::move(bytes));
     if (!forwarded) {
@@ -385,7 +388,7 @@
       this->LogUnframedEnd(aAttempt);
       // Without an end mark, a stream that has not begun cannot have ended.
       const bool neverBegan =
-        wholeEvents && !hasEvent && aAttempt.head.framing == BodyFraming::kConnectionEnd;
+        wholeEvents && !hasBegun && aAttempt.head.framing == BodyFraming::kConnectionEnd;
       co_return this->events.HasPartial() || neverBegan ? StreamOutcome::kBroken
                                                         : StreamOutcome::kComplete;
     }
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -98,6 +98,9 @@
   if (!restarted && aMessage.sequence <= peer.sequence) {
     return;
   }
+  if (restarted) {
+    this->path.quarantine.ReportAllQuarantines(now);
+  }
   peer.sequence = aMessage.sequence;
   peer.endpoint = aFrom;
   const bool newer = aMessage.configPosition > state.configPosition ||
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -9,8 +9,7 @@
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/retries/retry_policy.hpp>
 #include <plantainslip/serving/placement.hpp>
-#include <plantainslip/serving/prompt_quarantine.hpp>
-#include <plantainslip/serving/request_digest.hpp>
+#include <plantainslip/serving/request_quarantine.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
 
 #include "connection_pool.hpp"
@@ -73,7 +72,7 @@
   TargetLimits limits = {};
   PrefillModel prefill = {};
   DemandMeter demand = {};
-  PromptQuarantine quarantine = PromptQuarantine();
+  RequestQuarantine quarantine = RequestQuarantine();
   std::map<core::ServiceName, std::unique_ptr<retries::RetryBudget>> budgets = {};
   /// @brief Latest snapshot published by the control thread; never null.
   std::shared_ptr<const FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
@@ -173,6 +172,8 @@
   core::MonotonicTime lastChunkAt = {};
   /// @brief Identifies the request across its caller's attempts.
   RequestDigest digest = {};
+  /// @brief What the quarantine knows the request by.
+  TraitSet traits = {};
 };
 
 /// @brief Returns the targets that a request must not be sent to again: tried or unreachable.
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -156,21 +156,34 @@
   return true;
 }
 
+json
+EncodeTraits(const TraitSet& aTraits)
+{
+  json numbers = json::array();
+  for (const Trait trait : aTraits) {
+    numbers.push_back(trait.Number());
+  }
+  return numbers;
+}
+
 json
 EncodeCrashes(const CrashReport& aReport)
 {
   json suspects = json::array();
   for (const CrashReport::Suspect& suspect : aReport.suspects) {
-    suspects.push_back(json::array(
-      { suspect.target.Text(), suspect.age.count(), json(suspect.parts), suspect.isRepeat }));
+    suspects.push_back(json::array({ suspect.target.Text(),
+                                     suspect.age.count(),
+                                     EncodeTraits(suspect.traits),
+                                     suspect.isRepeat }));
   }
   json answered = json::array();
   for (const CrashReport::Answered& answer : aReport.answered) {
-    answered.push_back(json::array({ answer.part, answer.age.count() }));
+    answered.push_back(json::array({ answer.trait.Number(), answer.age.count() }));
   }
   json quarantined = json::array();
   for (const CrashReport::Quarantined& entry : aReport.quarantined) {
-    quarantined.push_back(json::array({ json(entry.parts), entry.age.count(), entry.outages }));
+    quarantined.push_back(
+      json::array({ EncodeTraits(entry.traits), entry.age.count(), entry.outages }));
   }
   json answerAges = json::array();
   for (const milliseconds age : aReport.answerAges) {
@@ -188,13 +201,16 @@
          });
 }
 
-// Returns the part ids in the order that part sets have.
-PartSet
-ReadParts(const json& aValue)
+// Returns the traits in the order that trait sets have.
+TraitSet
+ReadTraits(const json& aNumbers)
 {
-  auto parts = aValue.get<PartSet>();
-  std::sort(parts.begin(), parts.end());
-  return parts;
+  TraitSet traits;
+  for (const json& number : aNumbers) {
+    traits.push_back(Trait::FromNumber(number.get<std::uint64_t>()));
+  }
+  std::sort(traits.begin(), traits.end());
+  return traits;
 }
 
 bool
@@ -207,7 +223,7 @@
       return false;
     }
     aCrashes.suspects.push_back({ core::TargetId(entry[0].get<std::string>()),
-                                  ReadParts(entry[2]),
+                                  ReadTraits(entry[2]),
                                   ReadAge(entry[1]),
                                   entry[3].get<bool>() });
   }
@@ -228,7 +244,8 @@
     if (!IsNumberList(entry) || entry.size() != 2) {
       return false;
     }
-    aCrashes.answered.push_back({ entry[0].get<std::uint64_t>(), ReadAge(entry[1]) });
+    aCrashes.answered.push_back(
+      { Trait::FromNumber(entry[0].get<std::uint64_t>()), ReadAge(entry[1]) });
   }
   for (const json& entry : aReport[2]) {
     constexpr std::size_t kFields = 3;
@@ -237,7 +254,7 @@
       return false;
     }
     aCrashes.quarantined.push_back(
-      { ReadParts(entry[0]), ReadAge(entry[1]), entry[2].get<std::size_t>() });
+      { ReadTraits(entry[0]), ReadAge(entry[1]), entry[2].get<std::size_t>() });
   }
   for (const json& age : aReport[3]) {
     if (!age.is_number_unsigned()) {
--- a/src/serving/request_digest.cpp
+++ b/src/serving/request_digest.cpp
@@ -1,7 +1,6 @@
 #include <plantainslip/serving/request_digest.hpp>
 
 #include <absl/strings/ascii.h>
-#include <absl/strings/str_format.h>
 #include <xxhash.h>
 
 namespace plantainslip::serving {
@@ -35,10 +34,4 @@
   return RequestDigest(AddText(aBody, hash));
 }
 
-std::string
-FormatDigest(RequestDigest aDigest)
-{
-  return absl::StrFormat("%016x", aDigest.Number());
-}
-
 } // namespace plantainslip::serving
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -107,7 +107,7 @@
       { "attempts", std::to_string(aRequest.attempts) },
       { "target", aRequest.sentTo.empty() ? "" : aRequest.sentTo.back().Text() },
       { "tried", FormatTargets(aRequest.sentTo) },
-      { "digest", FormatDigest(aRequest.digest) },
+      { "digest", FormatTraits({ Trait::OfRequest(aRequest.digest) }) },
       { "parts", FormatParts(aRequest.info.prompt) },
       { "took_ms", std::to_string(duration.count()) },
       { "prefill_engine", aRequest.prefillEngine.Text() },
@@ -176,15 +176,12 @@
 Task<bool>
 EndIfQuarantined(PathContext& aContext, PathRequest& aRequest)
 {
-  if (!aRequest.info.prompt.has_value()) {
-    co_return false;
-  }
-  const auto timeLeft = aContext.quarantine.TimeLeft(*aRequest.info.prompt, aContext.clock.Now());
+  const auto timeLeft = aContext.quarantine.TimeLeft(aRequest.traits, aContext.clock.Now());
   LogQuarantineChanges(aContext);
   if (!timeLeft.has_value()) {
     co_return false;
   }
-  std::string reason = "prompt_quarantined";
+  std::string reason = "request_quarantined";
   if (aRequest.mayHaveRun || aRequest.cancellation.Reason().has_value()) {
     co_await FailRequest(aContext, aRequest, std::move(reason));
   } else {
@@ -287,6 +284,7 @@
                        {},
                        {} };
   request.digest = DigestRequest(aRequest.method, aRequest.target, aRequest.headers, aRequest.body);
+  request.traits = TraitsOf(request.digest, request.info.prompt);
   aContext.metrics.Count("requests_total", route->name);
   if (service == nullptr) {
     std::string reason = "no_service";
--- a/src/serving/request_path.hpp
+++ b/src/serving/request_path.hpp
@@ -40,7 +40,7 @@
 Task<void>
 FailRequest(PathContext& aContext, PathRequest& aRequest, std::string aReason);
 
-/// @brief Ends a request whose prompt is quarantined, before it is sent to another target: 503 if
+/// @brief Ends a request that is quarantined, before it is sent to another target: 503 if
 ///        it has not run, else as FailRequest().
 /// @return true if the request was ended
 Task<bool>
--- /dev/null
+++ b/tests/src/unit-request-digest.cpp
@@ -0,0 +1,54 @@
+#include <doctest/doctest.h>
+
+#include <plantainslip/serving/event_stream.hpp>
+#include <plantainslip/serving/request_traits.hpp>
+
+using namespace plantainslip;          // NOLINT(google-build-using-namespace)
+using namespace plantainslip::serving; // NOLINT(google-build-using-namespace)
+
+TEST_CASE("the digest of a request tells its attempts from other requests")
+{
+  const HeaderList headers = { { "Host", "h.example" }, { "X-Request-Id", "1" } };
+  const RequestDigest digest = DigestRequest("POST", "/pay/x", headers, "coins");
+  SUBCASE("an attempt has another id, and other fields that only concern it")
+  {
+    const HeaderList again = { { "X-Deadline-Ms", "900" },
+                               { "host", "H.example" },
+                               { "X-Request-Id", "2" } };
+    CHECK(DigestRequest("POST", "/pay/x", again, "coins") == digest);
+  }
+  SUBCASE("another request differs in method, path, query, body, host or credentials")
+  {
+    CHECK(DigestRequest("PUT", "/pay/x", headers, "coins") != digest);
+    CHECK(DigestRequest("POST", "/pay/y", headers, "coins") != digest);
+    CHECK(DigestRequest("POST", "/pay/x?page=2", headers, "coins") != digest);
+    CHECK(DigestRequest("POST", "/pay/x", headers, "notes") != digest);
+    CHECK(DigestRequest("POST", "/pay/", headers, "xcoins") != digest);
+    CHECK(DigestRequest("POST", "/pay/x", { { "Host", "other.example" } }, "coins") != digest);
+    HeaderList caller = headers;
+    caller.push_back({ "Authorization", "Bearer a" });
+    const RequestDigest ofCaller = DigestRequest("POST", "/pay/x", caller, "coins");
+    CHECK(ofCaller != digest);
+    caller.back().value = "Bearer A";
+    CHECK(DigestRequest("POST", "/pay/x", caller, "coins") != ofCaller);
+  }
+}
+
+TEST_CASE("a request has its digest and its prompt's shared parts as traits")
+{
+  PromptInfo prompt;
+  prompt.parts = { { 7, 100 }, { 3, 100 }, { 7, 100 }, { 9, 100 } };
+  const RequestDigest digest(5);
+  const TraitSet expected = { Trait::OfPart(3), Trait::OfPart(7), Trait::OfRequest(digest) };
+  CHECK(TraitsOf(digest, prompt) == expected);
+  CHECK(TraitsOf(digest, std::nullopt) == TraitSet{ Trait::OfRequest(digest) });
+  CHECK(Trait::OfRequest(RequestDigest(7)) != Trait::OfPart(7));
+}
+
+TEST_CASE("an event stream is known by its media type")
+{
+  CHECK(IsEventStream({ { "content-type", "text/event-stream" } }));
+  CHECK(IsEventStream({ { "Content-Type", "Text/Event-Stream; charset=utf-8" } }));
+  CHECK_FALSE(IsEventStream({ { "Content-Type", "application/json" } }));
+  CHECK_FALSE(IsEventStream({}));
+}
--- a/tests/src/unit-prompt-quarantine.cpp
+++ b/tests/src/unit-request-quarantine.cpp
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include <plantainslip/serving/prompt_quarantine.hpp>
+#include <plantainslip/serving/request_quarantine.hpp>
 
 using namespace plantainslip;          // NOLINT(google-build-using-namespace)
 using namespace plantainslip::serving; // NOLINT(google-build-using-namespace)
@@ -14,23 +14,44 @@
 constexpr std::uint64_t kSubject = 20;
 constexpr std::uint64_t kFatal = 666;
 
-// Returns a prompt with the given shared parts and a last part of its own.
-PromptInfo
-Prompt(const std::vector<std::uint64_t>& aShared)
+using PartIds = std::vector<std::uint64_t>;
+
+// Returns the traits of a request with a digest, whose prompt has the given shared parts and a last
+// part of its own.
+TraitSet
+Request(std::uint64_t aDigest, const PartIds& aShared)
 {
-  static std::uint64_t last = 1'000'000;
   PromptInfo prompt;
   for (const std::uint64_t id : aShared) {
     prompt.parts.push_back({ id, 100 });
   }
-  prompt.parts.push_back({ ++last, 100 });
-  return prompt;
+  prompt.parts.push_back({ 1'000'000 + aDigest, 100 });
+  return TraitsOf(RequestDigest(aDigest), prompt);
+}
+
+// Returns the traits of a request that is like no other, whose prompt has the given shared parts.
+TraitSet
+Prompt(const PartIds& aShared)
+{
+  static std::uint64_t last = 1'000'000;
+  return Request(++last, aShared);
+}
+
+// Returns the traits of prompts with parts, whatever the request.
+TraitSet
+PartTraits(const PartIds& aParts)
+{
+  TraitSet traits;
+  for (const std::uint64_t part : aParts) {
+    traits.push_back(Trait::OfPart(part));
+  }
+  return traits;
 }
 
 /// One instance and a clock; each crash is of another target.
 struct Instance
 {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   core::MonotonicTime now{ 1h };
   int crashes = 0;
 
@@ -89,7 +110,7 @@
     CHECK(one.IsKeptBack({ 2, 24, kFatal }));
     CHECK(one.IsKeptBack({ kFatal }));
     CHECK_FALSE(one.IsKeptBack({ kFirst, kSubject }));
-    CHECK(one.quarantine.QuarantinedParts() == std::vector<PartSet>{ { kFatal } });
+    CHECK(one.quarantine.QuarantinedTraits() == std::vector<TraitSet>{ PartTraits({ kFatal }) });
   }
   SUBCASE("until an answer to a prompt with it begins")
   {
@@ -174,7 +195,7 @@
   CHECK(one.IsKeptBack({ kFirst, kSubject, kFatal }));
   CHECK_FALSE(one.IsKeptBack({ 3, 33 }));
   CHECK_FALSE(one.IsKeptBack({ 2, 44 }));
-  CHECK(one.quarantine.QuarantinedParts().size() == 1);
+  CHECK(one.quarantine.QuarantinedTraits().size() == 1);
 }
 
 TEST_CASE("a part that is answered between crashes is never quarantined")
@@ -185,7 +206,7 @@
     one.Answer({ kFirst, kSubject });
   }
   CHECK_FALSE(one.IsKeptBack({ kFirst, kSubject }));
-  CHECK(one.quarantine.QuarantinedParts().empty());
+  CHECK(one.quarantine.QuarantinedTraits().empty());
 }
 
 TEST_CASE("two fatal parts that come in turn are both found")
@@ -200,6 +221,121 @@
   CHECK_FALSE(one.IsKeptBack({ kFirst, 44 }));
 }
 
+TEST_CASE("a request that ended a target each time it came is quarantined")
+{
+  constexpr std::uint64_t kDeadly = 5;
+  const auto crash = [](Instance& aOne, const PartIds& aParts) {
+    const core::TargetId target("t" + std::to_string(++aOne.crashes));
+    aOne.quarantine.RecordCrash({ target, aOne.now }, Request(kDeadly, aParts), aOne.now);
+    return target;
+  };
+  const auto isKeptBack = [](Instance& aOne, const PartIds& aParts) {
+    return aOne.quarantine.TimeLeft(Request(kDeadly, aParts), aOne.now).has_value();
+  };
+  Instance one;
+  SUBCASE("even if its prompt's parts are answered in other requests")
+  {
+    for (int number = 0; number < 3; ++number) {
+      CHECK_FALSE(isKeptBack(one, { kFirst, kSubject }));
+      crash(one, { kFirst, kSubject });
+      one.Answer({ kFirst, kSubject });
+    }
+    CHECK(isKeptBack(one, { kFirst, kSubject }));
+    CHECK_FALSE(one.IsKeptBack({ kFirst, kSubject }));
+  }
+  SUBCASE("without a prompt, and with no other request in between")
+  {
+    for (int number = 0; number < 3; ++number) {
+      CHECK_FALSE(isKeptBack(one, {}));
+      crash(one, {});
+      one.Pass(400ms);
+    }
+    CHECK(isKeptBack(one, {}));
+    CHECK_FALSE(one.IsKeptBack({}));
+  }
+  SUBCASE("and bystanders whose prompts share its parts are not, even at each of the crashes")
+  {
+    for (int number = 0; number < 8; ++number) {
+      const core::TargetId target = crash(one, { kFirst, kSubject });
+      one.CrashAt(target, { kFirst, kSubject });
+      one.Answer({ 2, 77 });
+    }
+    CHECK(isKeptBack(one, { kFirst, kSubject }));
+    CHECK_FALSE(one.IsKeptBack({ kFirst, kSubject }));
+  }
+  SUBCASE("but not if the targets ended at the same time")
+  {
+    for (int number = 0; number < 20; ++number) {
+      crash(one, {});
+      one.Pass(2ms);
+    }
+    CHECK_FALSE(isKeptBack(one, {}));
+  }
+  SUBCASE("but not if it was answered in between")
+  {
+    for (int number = 0; number < 20; ++number) {
+      crash(one, {});
+      one.Pass(400ms);
+      one.quarantine.RecordAnswer(Request(kDeadly, {}), one.now);
+      one.Pass(400ms);
+    }
+    CHECK_FALSE(isKeptBack(one, {}));
+  }
+  SUBCASE("also between many bystanders that do not come again")
+  {
+    for (int number = 0; number < 3; ++number) {
+      const core::TargetId target = crash(one, { kFirst, kSubject });
+      one.Answer({ kFirst, kSubject });
+      for (int bystander = 0; bystander < 300; ++bystander) {
+        one.CrashAt(core::TargetId("other"), { kFirst });
+      }
+      one.Answer({ kFirst, kSubject });
+    }
+    CHECK(isKeptBack(one, { kFirst, kSubject }));
+  }
+}
+
+TEST_CASE("a fatal part is found although the first requests with it were attempts of the same one")
+{
+  Instance one;
+  const PartIds fatal = { kFirst, kSubject, kFatal };
+  for (int number = 0; number < 3; ++number) {
+    one.Answer({ kFirst, 21 });
+    const core::TargetId target("s" + std::to_string(number));
+    one.quarantine.RecordCrash({ target, one.now }, Request(5, fatal), one.now);
+  }
+  for (int number = 0; number < 2; ++number) {
+    one.Answer({ kFirst, 21 });
+    CHECK_FALSE(one.IsKeptBack(fatal));
+    one.Crash(fatal);
+  }
+  CHECK(one.IsKeptBack(fatal));
+  CHECK_FALSE(one.IsKeptBack({ kFirst, 21 }));
+}
+
+TEST_CASE("an instance that starts later learns of all quarantines")
+{
+  Instance one;
+  for (int crash = 0; crash < 3; ++crash) {
+    one.Answer({ kFirst, 21 });
+    one.Crash({ kFirst, kFatal });
+  }
+  Instance adopting;
+  adopting.now = one.now;
+  adopting.quarantine.Merge(one.quarantine.Report(one.now), one.now);
+  one.Pass(60s);
+  adopting.Pass(60s);
+  CHECK(one.quarantine.Report(one.now).quarantined.empty());
+  for (Instance* teller : { &one, &adopting }) {
+    teller->quarantine.ReportAllQuarantines(teller->now);
+    Instance late;
+    late.now = teller->now;
+    late.quarantine.Merge(teller->quarantine.Report(teller->now), late.now);
+    CHECK(late.IsKeptBack({ kFirst, kFatal }));
+    CHECK_FALSE(late.IsKeptBack({ kFirst, 21 }));
+  }
+}
+
 TEST_CASE("instances that each see one crash find the part by each other's reports")
 {
   std::vector<Instance> instances(3);
@@ -256,7 +392,7 @@
   std::size_t instanceCount = 2 + this->Below(40);
   std::vector<Instance> instances = std::vector<Instance>(this->instanceCount);
   std::uint64_t fatalPercent = 2 + this->Below(20);
-  PartSet fatalParts = this->Below(2) == 0 ? PartSet{ 1, 10, kFatal } : PartSet{ 1, kFatal };
+  PartIds fatalParts = this->Below(2) == 0 ? PartIds{ 1, 10, kFatal } : PartIds{ 1, kFatal };
   core::MonotonicTime now{ 1h };
   std::size_t fatalCrashes = 0;
   core::MonotonicTime fifthCrashAt = core::MonotonicTime::max();
@@ -273,7 +409,7 @@
 
   std::uint64_t Below(std::uint64_t aBound) { return this->random() % aBound; }
   Instance& AnyInstance() { return this->instances[this->Below(this->instanceCount)]; }
-  PartSet SoundParts() { return { 1 + this->Below(4), 10 + this->Below(200) }; }
+  PartIds SoundParts() { return { 1 + this->Below(4), 10 + this->Below(200) }; }
 
   void CountCrash(bool aIsFatal)
   {
@@ -286,7 +422,7 @@
     }
   }
 
-  void Crash(Instance& aInstance, const PartSet& aParts, int aStep)
+  void Crash(Instance& aInstance, const PartIds& aParts, int aStep)
   {
     const core::TargetId target("s" + std::to_string(aStep));
     aInstance.quarantine.RecordCrash({ target, this->now }, Prompt(aParts), this->now);
@@ -316,7 +452,7 @@
       this->now += 10ms;
       Instance& instance = this->AnyInstance();
       const bool isFatal = step >= aFirstFatalStep && this->Below(100) < this->fatalPercent;
-      const PartSet parts = isFatal ? this->fatalParts : this->SoundParts();
+      const PartIds parts = isFatal ? this->fatalParts : this->SoundParts();
       const bool isKeptBack = instance.quarantine.TimeLeft(Prompt(parts), this->now).has_value();
       const bool endsByItself = this->Below(200) == 0;
       const bool isRelated = !isFatal && parts.front() == this->fatalParts.front();
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -311,9 +311,11 @@
   SUBCASE("without evidence about ended targets") {}
   SUBCASE("with evidence about ended targets")
   {
-    message.crashes.suspects = { { core::TargetId("t"), { 3, 9 }, 40ms, true } };
-    message.crashes.answered = { { 3, 10ms } };
-    message.crashes.quarantined = { { { 9 }, 5ms, 3 } };
+    message.crashes.suspects = {
+      { core::TargetId("t"), { Trait::OfPart(3), Trait::OfRequest(RequestDigest(9)) }, 40ms, true }
+    };
+    message.crashes.answered = { { Trait::OfPart(3), 10ms } };
+    message.crashes.quarantined = { { { Trait::OfPart(9) }, 5ms, 3 } };
     message.crashes.answerAges = { 20ms, 70ms };
   }
   const std::string bytes = EncodePeerMessage(message);
