Soak: repeated requests that end targets, beside the other disruptions

One request at a time ends each target that begins to run it; callers repeat it on all routes, and ended targets are replaced. Checked: later than three seconds after its third crash it arrives at most three times from calm instances.

--- a/tests/src/process-soak.cpp
+++ b/tests/src/process-soak.cpp
@@ -26,13 +26,16 @@
 namespace {
 
 /// Bounds of the users: time until a leaving target gets nothing more, time until a change is in
-/// force, time until a pause holds and requests that may arrive in it, and time without disruption
-/// until the bounds apply.
+/// force, time until a pause holds and requests that may arrive in it, time without disruption
+/// until the bounds apply, and targets that a repeated request may end before it may arrive only so
+/// often after that time.
 constexpr auto kDrainBound = 2'000ms;
 constexpr auto kChangeBound = 2'000ms;
 constexpr auto kPauseBound = 500ms;
 constexpr auto kStableWindow = 3'000ms;
 constexpr std::size_t kMaxDuringPause = 2;
+constexpr std::size_t kAcceptedCrashes = 3;
+constexpr std::size_t kMaxLaterArrivals = 3;
 constexpr std::size_t kInstances = 3;
 
 /// What a caller saw of one request.
@@ -97,6 +100,7 @@
     this->CheckAnswers();
     this->CheckLeaving();
     this->CheckPauses();
+    this->CheckFatalRequests();
     for (const std::size_t index : this->slots) {
       CHECK_MESSAGE(this->fleet.Gateway(index).IsRunning(), "an instance ended by itself");
     }
@@ -113,6 +117,7 @@
   {
     const std::string id = "i-" + std::to_string(this->entries.size());
     WireTarget& target = this->fleet.AddTarget(id, aService, aStage);
+    target.SetFatalPath(this->fatalPath);
     this->entries.push_back({ &target, aService, aStage });
   }
 
@@ -138,6 +143,7 @@
     }
     std::map<std::size_t, KeptConnection> connections;
     const std::vector<std::string> paths = { "/look/x", "/pay/x", "/quote/x", "/note/x" };
+    constexpr unsigned kFatalShare = 12;
     for (int number = 0; !this->stopping; ++number) {
       Sent request;
       std::size_t& instance = used[choose() % used.size()];
@@ -147,8 +153,12 @@
         connections.try_emplace(instance, this->addresses[instance]);
       }
       request.path = paths[choose() % paths.size()];
+      if (choose() % kFatalShare == 0) {
+        const std::scoped_lock lock(this->mutex);
+        request.path = this->fatalPath.empty() ? request.path : this->fatalPath;
+      }
       request.at = Clock::now();
-      const bool isCompletion = request.path == "/quote/x" || request.path == "/note/x";
+      const bool isCompletion = IsOn(request.path, "/quote/") || IsOn(request.path, "/note/");
       const std::string id = std::to_string(aNumber) + "-" + std::to_string(number);
       request.answer = connections.at(request.instance)
                          .Call(isCompletion ? "POST" : "GET", request.path, id, isCompletion);
@@ -161,9 +171,42 @@
     }
   }
 
+  static bool IsOn(const std::string& aPath, const std::string& aRoute)
+  {
+    return aPath.starts_with(aRoute);
+  }
+
+  // Lets a request end each target that begins to run it, from now on.
+  void MakeFatal()
+  {
+    static const std::vector<std::string> kRoutes = { "/look/", "/pay/", "/quote/", "/note/" };
+    const std::string path = kRoutes[this->Below(4)] + "fatal" + std::to_string(this->Below(1'000));
+    for (const Entry& entry : this->entries) {
+      entry.target->SetFatalPath(path);
+    }
+    this->fatalPaths.insert(path);
+    const std::scoped_lock lock(this->mutex);
+    this->fatalPath = path;
+  }
+
+  void ReplaceEnded()
+  {
+    const std::size_t count = this->entries.size();
+    for (std::size_t index = 0; index < count; ++index) {
+      if (this->entries[index].target->HasEnded() && !this->entries[index].gone) {
+        this->entries[index].gone = true;
+        this->fleet.RemoveEntry(this->entries[index].target->Id());
+        const std::string service = this->entries[index].service;
+        const std::string stage = this->entries[index].stage;
+        this->AddTarget(service, stage);
+      }
+    }
+  }
+
   void Disrupt()
   {
-    switch (this->Below(8)) {
+    this->ReplaceEnded();
+    switch (this->Below(9)) {
       case 0:
         this->LoseStore();
         break;
@@ -185,6 +228,9 @@
       case 6:
         this->Freeze();
         break;
+      case 7:
+        this->MakeFatal();
+        break;
       default:
         this->Fail();
         break;
@@ -371,7 +417,7 @@
       const auto found = runs.find(id);
       const std::size_t count = found == runs.end() ? 0 : found->second;
       const bool isRefused = status == 503 || status == 429 || status == 421 || status == 408;
-      const bool isIdempotent = request.path == "/look/x" || request.path == "/note/x";
+      const bool isIdempotent = IsOn(request.path, "/look/") || IsOn(request.path, "/note/");
       if (isRefused && !isIdempotent) {
         CHECK(count == 0);
       }
@@ -380,7 +426,7 @@
       }
       if (status == 200 && request.answer.complete) {
         CHECK(count >= 1);
-        const std::string expected = request.path == "/look/x" || request.path == "/pay/x"
+        const std::string expected = IsOn(request.path, "/look/") || IsOn(request.path, "/pay/")
                                        ? "answer of i-"
                                        : "id: 4\ndata: piece 4\n\n";
         CHECK(request.answer.body.find(expected) != std::string::npos);
@@ -466,11 +512,48 @@
     }
   }
 
+  // A request that ends targets arrives only so often once it has ended some, sent by instances
+  // that were neither started nor frozen shortly before.
+  void CheckFatalRequests() const
+  {
+    for (const std::string& path : this->fatalPaths) {
+      CAPTURE(path);
+      std::vector<Time> crashes;
+      for (const Entry& entry : this->entries) {
+        const auto all = entry.target->Received();
+        const auto found = std::find_if(all.begin(), all.end(), [&](const auto& aReceived) {
+          return aReceived.path == path && aReceived.ran;
+        });
+        if (found != all.end() && entry.target->HasEnded()) {
+          crashes.push_back(found->at);
+        }
+      }
+      if (crashes.size() < kAcceptedCrashes) {
+        continue;
+      }
+      std::sort(crashes.begin(), crashes.end());
+      const Time bound = crashes[kAcceptedCrashes - 1] + kStableWindow;
+      std::size_t arrivals = 0;
+      for (const Entry& entry : this->entries) {
+        this->ForEachAnswered(
+          entry.target->Received(), [&](const auto& aReceived, std::size_t aInstance, Time) {
+            const bool isBound =
+              aReceived.at > bound && aReceived.at > this->calmSince[aInstance] + kStableWindow;
+            arrivals += aReceived.path == path && isBound ? 1U : 0U;
+          });
+      }
+      CHECK(arrivals <= kMaxLaterArrivals);
+    }
+  }
+
   WireFleet fleet;
   std::mt19937 random;
   std::uint64_t version = 3;
   std::vector<Entry> entries;
   std::vector<WireStore::Copy> copies;
+  std::set<std::string> fatalPaths;
+  /// The newest of them, which callers repeat; empty if there is none yet.
+  std::string fatalPath;
   /// Instances that have served the route that the newest configuration added.
   std::set<std::size_t> serving;
   std::size_t probes = 0;
