Log when and from where an instance learns that a target leaves the directory

No line told whether the news of a leaving target came late, was dropped or was not used. One line for each target that was listed as usable, with origin, era, revision, age of the last confirmation and whether it is still used. No logic changes.

--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -225,7 +225,7 @@
     changes.push_back(std::move(change));
   }
   const core::MonotonicTime now = this->clock.Now();
-  const std::size_t before = this->directory.Targets().size();
+  const std::map<core::TargetId, Target> before = this->directory.Targets();
   bool changed = false;
   if (aChanges.isSnapshot) {
     changed = this->directory.ApplyAll(changes, aChanges.items.upTo, now);
@@ -234,9 +234,12 @@
       changed = this->directory.Apply(change, now) || changed;
     }
   }
-  if (this->directory.Targets().size() != before) {
+  if (this->directory.Targets().size() != before.size()) {
     this->RecordMembershipChange();
   }
+  for (const DirectoryChange& change : changes) {
+    this->LogDeparture(change, aChanges, before);
+  }
   if (changed) {
     core::Log(core::LogLevel::kInfo,
               "targets changed",
@@ -247,6 +250,33 @@
   }
 }
 
+void
+Control::LogDeparture(const DirectoryChange& aChange,
+                      const FollowedChanges& aSource,
+                      const std::map<core::TargetId, Target>& aBefore) const
+{
+  const auto isUsable = [&](const std::map<core::TargetId, Target>& aTargets) {
+    const auto found = aTargets.find(aChange.id);
+    return found != aTargets.end() && !found->second.leaving;
+  };
+  const bool isLeaving = aChange.target.has_value() && aChange.target->leaving;
+  if ((!aChange.removed && !isLeaving) || !isUsable(aBefore)) {
+    return;
+  }
+  const auto sinceConfirmed =
+    std::chrono::duration_cast<milliseconds>(this->clock.Now() - this->confirmedAt);
+  core::Log(core::LogLevel::kInfo,
+            "target is leaving, according to the directory",
+            { { "target", aChange.id.Text() },
+              { "entry", aChange.removed ? "removed" : "leaving" },
+              { "origin", OriginName(aSource.origin) },
+              { "full_list", aSource.isSnapshot ? "yes" : "no" },
+              { "era", std::to_string(aChange.position.era.Number()) },
+              { "revision", std::to_string(aChange.position.revision.Number()) },
+              { "confirmed_ms_ago", std::to_string(sinceConfirmed.count()) },
+              { "still_used", isUsable(this->directory.Targets()) ? "yes" : "no" } });
+}
+
 Task<void>
 Control::ApplyTargetDeadlines()
 {
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -109,6 +109,11 @@
   bool LeaseIsSafe() const;
   void ApplyConfig(const FollowedChanges& aChanges);
   void ApplyTargets(const FollowedChanges& aChanges);
+  /// @brief Logs a change by which a target that was listed as usable leaves or is removed.
+  /// @param aBefore  the directory before the change
+  void LogDeparture(const DirectoryChange& aChange,
+                    const FollowedChanges& aSource,
+                    const std::map<core::TargetId, Target>& aBefore) const;
   void PublishUpdate(bool aAnnounce = false);
   void RecordConfirmation(core::MonotonicTime aAt);
   bool HasHealthyWatches() const;
