Drop a target at once that the store removes after its copy was listed

Requests reached targets 2,001 to 2,188 ms after the store had acknowledged that they were removed (bound 2,000 ms), when the store had come back from a copy. Cause: the moment at which an instance noticed the new era, up to 3.5 s after the store's return, counted as an outage, and a removal shortly after an outage is taken for an expired lease: the target was kept for 1.9 s. Change: only entries that the first list of the era lacks are kept because of the copy, until 1.9 s after that list. Result: two subcases of "after the store comes back from a copy, the directory" failed, now pass.

--- a/include/plantainslip/serving/directory.hpp
+++ b/include/plantainslip/serving/directory.hpp
@@ -98,7 +98,11 @@
     core::MonotonicTime usableFrom;
   };
 
-  bool Remove(const core::TargetId& aId, StorePosition aPosition, core::MonotonicTime aNow);
+  std::optional<core::MonotonicTime> LapseEnd(core::MonotonicTime aNow) const;
+  std::optional<core::MonotonicTime> LapseEndInList(core::MonotonicTime aNow) const;
+  bool Remove(const core::TargetId& aId,
+              StorePosition aPosition,
+              std::optional<core::MonotonicTime> aLapseEnd);
   bool Use(Target aTarget);
   void RecordDeparture(const Target& aTarget, StorePosition aPosition);
   bool IsLeftover(const Target& aTarget, StorePosition aPosition) const;
@@ -115,6 +119,8 @@
   ///        copy.
   StorePosition eraListedUpTo;
   std::optional<core::MonotonicTime> outageAt;
+  /// @brief When the first full list of the present era was applied, if there was an era before.
+  std::optional<core::MonotonicTime> copyListedAt;
 };
 
 } // namespace plantainslip::serving
--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -43,16 +43,41 @@
          aPosition <= this->eraListedUpTo;
 }
 
+// Returns until when an entry that the store has removed is kept, as its lease may have expired in
+// an outage.
+std::optional<core::MonotonicTime>
+Directory::LapseEnd(core::MonotonicTime aNow) const
+{
+  const bool isAfterOutage = this->outageAt.has_value() && aNow - *this->outageAt <= kOutageWindow;
+  return isAfterOutage ? std::optional(aNow + kLapseGracePeriod) : std::nullopt;
+}
+
+// Returns until when an entry is kept that a full list lacks. Targets that registered after a copy
+// was made are missing from it until they write again; one that the store removes after that list
+// has not lapsed because of the copy.
+std::optional<core::MonotonicTime>
+Directory::LapseEndInList(core::MonotonicTime aNow) const
+{
+  const std::optional<core::MonotonicTime> afterOutage = this->LapseEnd(aNow);
+  if (afterOutage.has_value() || !this->copyListedAt.has_value()) {
+    return afterOutage;
+  }
+  const core::MonotonicTime end = *this->copyListedAt + kLapseGracePeriod;
+  return aNow < end ? std::optional(end) : std::nullopt;
+}
+
 bool
-Directory::Remove(const core::TargetId& aId, StorePosition aPosition, core::MonotonicTime aNow)
+Directory::Remove(const core::TargetId& aId,
+                  StorePosition aPosition,
+                  std::optional<core::MonotonicTime> aLapseEnd)
 {
   this->leftovers.erase(aId);
   const auto found = this->targets.find(aId);
   if (found == this->targets.end()) {
     return false;
   }
-  if (this->outageAt.has_value() && aNow - *this->outageAt <= kOutageWindow) {
-    this->lapses.try_emplace(aId, Lapse{ aPosition, aNow + kLapseGracePeriod });
+  if (aLapseEnd.has_value()) {
+    this->lapses.try_emplace(aId, Lapse{ aPosition, *aLapseEnd });
     return false;
   }
   if (this->lapses.contains(aId)) {
@@ -108,7 +133,7 @@
   }
   const StorePosition previous = std::exchange(known, aChange.position);
   if (aChange.removed) {
-    return this->Remove(aChange.id, aChange.position, aNow);
+    return this->Remove(aChange.id, aChange.position, this->LapseEnd(aNow));
   }
   this->lapses.erase(aChange.id);
   this->leftovers.erase(aChange.id);
@@ -140,8 +165,7 @@
 {
   if (aUpTo.era > this->eraListedUpTo.era) {
     if (this->eraListedUpTo != StorePosition{}) {
-      // Targets that registered after the copy was made are missing from it until they write again.
-      this->RecordOutage(aNow);
+      this->copyListedAt = aNow;
     }
     this->eraListedUpTo = aUpTo;
   }
@@ -158,7 +182,7 @@
     }
   }
   for (const core::TargetId& id : missing) {
-    changed = this->Remove(id, aUpTo, aNow) || changed;
+    changed = this->Remove(id, aUpTo, this->LapseEndInList(aNow)) || changed;
   }
   std::erase_if(this->leftovers, [&](const auto& aEntry) {
     return !listed.contains(aEntry.first) && this->positions[aEntry.first] <= aUpTo;
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -34,11 +34,11 @@
 }
 
 DirectoryChange
-Removal(const std::string& aId, std::uint64_t aRevision)
+Removal(const std::string& aId, std::uint64_t aRevision, std::uint64_t aEra = 1)
 {
   DirectoryChange change;
   change.id = core::TargetId(aId);
-  change.position = At(aRevision);
+  change.position = At(aRevision, aEra);
   change.removed = true;
   return change;
 }
@@ -172,6 +172,21 @@
     CHECK(directory.Apply(entry(4, 2, 100), now));
     CHECK(isUsable());
   }
+  SUBCASE("drops a target at once that the store removes after it has listed the copy")
+  {
+    directory.ApplyAll({ entry(3, 2, 100) }, At(3, 2), now);
+    CHECK(isUsable());
+    CHECK(directory.Apply(Removal("t", 4, 2), now + 100ms));
+    CHECK_FALSE(isUsable());
+  }
+  SUBCASE("keeps a target that a later list lacks no longer than one that the first list lacks")
+  {
+    directory.ApplyAll({ entry(3, 2, 100) }, At(3, 2), now);
+    directory.ApplyAll({}, At(4, 2), now + 1s);
+    CHECK(isUsable());
+    directory.ApplyDeadlines(now + Directory::kLapseGracePeriod);
+    CHECK_FALSE(isUsable());
+  }
   SUBCASE("does not use a leaving process again")
   {
     DirectoryChange leaving = entry(7, 1, 100);
