--- a/include/plantainslip/serving/request_digest.hpp
+++ b/include/plantainslip/serving/request_digest.hpp
@@ -18,4 +18,5 @@
               std::string_view aTarget,
               const HeaderList& aHeaders,
               std::string_view aBody);
+
 } // namespace plantainslip::serving
--- a/include/plantainslip/serving/request_quarantine.hpp
+++ b/include/plantainslip/serving/request_quarantine.hpp
@@ -48,9 +48,7 @@
   std::vector<Suspect> suspects;
   std::vector<Answered> answered;
   std::vector<Quarantined> quarantined;
-  /// @brief Recent times at which answers began, whatever their requests; sent while any evidence
-  /// is
-  ///        recent.
+  /// @brief Recent times at which any answers began; sent while any evidence is recent.
   std::vector<milliseconds> answerAges;
 
   bool Empty() const
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -46,9 +46,8 @@
   Task<void> ServeOne(const CallerRequest& aRequest);
   Task<void> WatchForDisconnect();
   Task<void> StopDisconnectWatch();
-  /// @brief Sets whether the connection is reset when it is closed, also by the end of this
-  /// process,
-  ///        so that a caller that reads to the end of the connection notices.
+  /// @brief Sets whether closing the connection resets it, also when this process ends, so that a
+  ///        caller that reads to the end of the connection notices.
   void SetResetOnClose(bool aReset);
   Task<bool> Write(std::string aBytes);
   Task<void> CloseGracefully();
