Add review case 1: a stopping instance drops requests that it passes on

Cause, as far as known: the drain's CloseIdle() closes sessions that are not marked busy. A session whose read was done at once has the bytes of a request, but is marked only when the completion runs; it goes on with the closed connection, passes the request on, and takes the closed socket for a caller that has left.

The two earlier cases are cases 2 and 3 now, as this one is graver. The small server of the scripts joins the threads of ended connections.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review/truncated_failure
+program=target/review/late_leaving
 [ -x "$program" ] && [ -x target/apps/plantainslip-gateway ] || exit 2
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
--- a/review/tools/rig.hpp
+++ b/review/tools/rig.hpp
@@ -313,6 +313,7 @@
         ::shutdown(connection, SHUT_RDWR);
       }
       ended.swap(this->threads);
+      this->endedThreads.clear();
     }
     for (std::thread& thread : ended) {
       thread.join();
@@ -335,12 +336,18 @@
       const int on = 1;
       ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
       const std::scoped_lock lock(this->mutex);
+      for (const auto ended : this->endedThreads) {
+        ended->join();
+        this->threads.erase(ended);
+      }
+      this->endedThreads.clear();
       this->connections.insert(connection);
-      this->threads.emplace_back([this, connection] { this->Serve(connection); });
+      const auto thread = this->threads.emplace(this->threads.end());
+      *thread = std::thread([this, connection, thread] { this->Serve(connection, thread); });
     }
   }
 
-  void Serve(int aConnection)
+  void Serve(int aConnection, std::list<std::thread>::iterator aThread)
   {
     std::string buffer;
     Message request;
@@ -349,6 +356,9 @@
     const std::scoped_lock lock(this->mutex);
     this->connections.erase(aConnection);
     ::close(aConnection);
+    if (!this->stopping) {
+      this->endedThreads.push_back(aThread);
+    }
   }
 
   Handler handler;
@@ -359,6 +369,8 @@
   std::mutex mutex;
   std::set<int> connections;
   std::list<std::thread> threads;
+  /// @brief Threads of connections that have ended, to be joined.
+  std::vector<std::list<std::thread>::iterator> endedThreads;
 };
 
 inline std::string
