--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 [ -x "$program" ] && [ -x target/apps/plantainslip-gateway ] || exit 2
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-timeout -k 5 115 "$program" review/1 "$temporary"
+timeout -k 5 116 "$program" review/1 "$temporary"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/tools/late_leaving.cpp
+++ b/review/tools/late_leaving.cpp
@@ -134,8 +134,8 @@
         this->gateway.Name() + "-" + std::to_string(aNumber) + "-" + std::to_string(count);
       const Answer answer =
         Call(this->gateway.Front(),
-             "POST /pay/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + requestId +
-               "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 3\r\n\r\npay",
+             "POST /pay/1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Request-Id: " +
+               requestId + "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 3\r\n\r\npay",
              2'000);
       this->record.Write("client: " + requestId + " gets " + std::to_string(answer.status) + " " +
                          answer.head.Field("X-Response-Seal"));
--- a/review/tools/rolling_restart.cpp
+++ b/review/tools/rolling_restart.cpp
@@ -111,9 +111,10 @@
   {
     while (!this->shared.ended) {
       for (std::size_t at = 0; at < this->gateways.size(); ++at) {
-        const Answer answer = Call(this->gateways[at]->Ready(),
-                                   "GET /plantainslip/readiness HTTP/1.1\r\nHost: x\r\n\r\n",
-                                   200);
+        const Answer answer =
+          Call(this->gateways[at]->Ready(),
+               "GET /plantainslip/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+               200);
         const std::scoped_lock lock(this->mutex);
         this->misses[at] = answer.status == 200 ? 0 : this->misses[at] + 1;
       }
@@ -153,11 +154,11 @@
     const std::string requestId = "p" + std::to_string(aNumber) + "-" + std::to_string(count);
     const Gateway& gateway = aBalancer.Choose(static_cast<std::size_t>(aNumber + count));
     const std::int64_t sentAt = Now();
-    const Answer answer =
-      Call(gateway.Front(),
-           "POST /pay/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + requestId +
-             "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 3\r\n\r\npay",
-           2'000);
+    const Answer answer = Call(
+      gateway.Front(),
+      "POST /pay/1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Request-Id: " + requestId +
+        "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 3\r\n\r\npay",
+      2'000);
     aShared.paid += answer.status == 200 ? 1 : 0;
     aShared.record.Write("client: " + requestId + " at " + gateway.Name() + " gets " +
                          (answer.status == 0 ? "no answer" : std::to_string(answer.status)));
@@ -189,7 +190,8 @@
     const Gateway& gateway = aBalancer.Choose(static_cast<std::size_t>(aNumber + count));
     const Answer answer =
       Call(gateway.Front(),
-           "POST /note/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + requestId +
+           "POST /note/1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Request-Id: " +
+             requestId +
              "\r\nX-Deadline-Ms: 8000\r\nX-Model-Id: m\r\n"
              "X-Token-Usage: 100,20\r\nX-Prompt-Prefix: a1:60,b2:40\r\n"
              "Content-Length: 4\r\n\r\nbody",
