--- a/review/tools/rig.hpp
+++ b/review/tools/rig.hpp
@@ -1046,6 +1046,12 @@
   if (SendAll(connection, aRequest)) {
     answer = ReadAnswer(connection, buffer, aTimeoutMs);
   }
+  if (answer.complete && Lower(answer.head.Field("Connection")) == "close") {
+    // The other side closes first, so that this port is not kept waiting.
+    constexpr int kCloseMs = 200;
+    pollfd polled{ connection, POLLIN, 0 };
+    ::poll(&polled, 1, kCloseMs);
+  }
   ::close(connection);
   return answer;
 }
