Take a request's bytes only when its session goes on, and close only connections that are not busy

Cause: a read completes into the session's buffer before the session's coroutine goes on, and until then the session counts as idle. A timer that is due in between (CloseIdle() of the drain, the idle limit) closes the socket; the request in the buffer is then passed on, and the disconnect watch takes the closed socket for a caller that left.

Change: the session waits until its socket is readable and takes the bytes when it goes on. Busy() covers bytes that have arrived, and the time after the last answer in which unread bytes are discarded. The limits on head and body end a wait and no longer close the connection beside a read; an incomplete body gets 408 like an incomplete head.

Why it works: nothing can run between taking the bytes and setting `busy`, so no timer sees a request as idle.

--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 
-#include <boost/beast/http/read.hpp>
 #include <netinet/tcp.h>
 
 #include "http_head.hpp"
@@ -69,6 +68,7 @@
   ErrorCode ignored;
   this->socket.set_option(Tcp::no_delay(true), ignored);
   this->socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+  this->socket.non_blocking(true, ignored);
 }
 
 CallerSession::~CallerSession()
@@ -83,34 +83,97 @@
   this->socket.close(ignored);
 }
 
-Task<bool>
-CallerSession::WaitForBytes()
+void
+CallerSession::CloseIfIdle()
 {
-  if (this->buffer.size() > 0) {
-    co_return true;
+  if (!this->Busy()) {
+    this->Close();
   }
-  const TimeLimit limit(
-    this->socket.get_executor(), this->listener.limits.idleTimeout, [this] { this->Close(); });
+}
+
+bool
+CallerSession::Busy() const
+{
+  ErrorCode error;
+  return this->busy || (this->socket.is_open() && this->socket.available(error) > 0);
+}
+
+// Waits for bytes and takes those that are there, which may be none. Bytes leave the socket only
+// while the session runs, so no close can come between their arrival in the buffer and the session.
+Task<ErrorCode>
+CallerSession::Receive()
+{
   ErrorCode error;
-  const std::size_t count = co_await this->socket.async_read_some(
-    this->buffer.prepare(kReadBufferBytes), RedirectError(error));
+  std::size_t count = this->socket.read_some(this->buffer.prepare(kReadBufferBytes), error);
+  if (error == asio::error::would_block) {
+    co_await this->socket.async_wait(Tcp::socket::wait_read, RedirectError(error));
+    if (error) {
+      co_return error;
+    }
+    count = this->socket.read_some(this->buffer.prepare(kReadBufferBytes), error);
+  }
   this->buffer.commit(count);
-  co_return !error;
+  co_return error == asio::error::would_block ? ErrorCode() : error;
+}
+
+Task<bool>
+CallerSession::WaitForBytes()
+{
+  const TimeLimit limit(this->socket.get_executor(), this->listener.limits.idleTimeout, [this] {
+    this->CloseIfIdle();
+  });
+  while (this->buffer.size() == 0) {
+    const ErrorCode error = co_await this->Receive();
+    if (error) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+// Reads until the parser has a whole head, or with aWholeMessage the body too.
+Task<ErrorCode>
+CallerSession::Parse(Parser& aParser, bool aWholeMessage, std::chrono::nanoseconds aTimeout)
+{
+  const TimeLimit limit(this->socket.get_executor(), aTimeout, [this] {
+    ErrorCode ignored;
+    this->socket.cancel(ignored);
+  });
+  aParser.eager(aWholeMessage);
+  while (!(aWholeMessage ? aParser.is_done() : aParser.is_header_done())) {
+    ErrorCode error = http::error::need_more;
+    if (this->buffer.size() > 0) {
+      error = {};
+      this->buffer.consume(aParser.put(this->buffer.data(), error));
+    }
+    if (error == http::error::need_more) {
+      if (limit.Expired()) {
+        co_return asio::error::timed_out;
+      }
+      error = co_await this->Receive();
+      if (error == asio::error::operation_aborted && limit.Expired()) {
+        error = asio::error::timed_out;
+      }
+    }
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return ErrorCode();
 }
 
 Task<void>
-CallerSession::RefuseBadRequest(ErrorCode aError, bool aTimedOut)
+CallerSession::RefuseBadRequest(ErrorCode aError)
 {
   this->keepAlive = false;
   int status = kBadRequest;
-  if (aTimedOut) {
+  if (aError == asio::error::timed_out) {
     status = kRequestTimeout;
   } else if (aError == http::error::header_limit) {
     status = kHeadersTooLarge;
   } else if (aError == http::error::body_limit) {
     status = kPayloadTooLarge;
-  } else if (aError == http::error::end_of_stream || aError == http::error::partial_message ||
-             aError.category() != http::make_error_code(http::error::bad_method).category()) {
+  } else if (aError.category() != http::make_error_code(http::error::bad_method).category()) {
     co_return;
   }
   co_await this->WriteWhole(status, HeaderList(), std::string());
@@ -119,8 +182,6 @@
 Task<bool>
 CallerSession::ReadBody(Parser& aParser)
 {
-  const TimeLimit limit(
-    this->socket.get_executor(), this->listener.limits.idleTimeout, [this] { this->Close(); });
   // No string literals inside co_await expressions: GCC 12 fails to compile them there.
   const std::string expected(aParser.get()["Expect"]);
   if (EqualIgnoringCase(expected, "100-continue")) {
@@ -129,10 +190,9 @@
       co_return false;
     }
   }
-  ErrorCode error;
-  co_await http::async_read(this->socket, this->buffer, aParser, RedirectError(error));
+  const ErrorCode error = co_await this->Parse(aParser, true, this->listener.limits.idleTimeout);
   if (error) {
-    co_await this->RefuseBadRequest(error, limit.Expired());
+    co_await this->RefuseBadRequest(error);
     co_return false;
   }
   co_return true;
@@ -152,17 +212,10 @@
   Parser parser;
   parser.header_limit(this->listener.limits.headerBytes);
   parser.body_limit(this->listener.limits.bodyBytes);
-  ErrorCode error;
-  {
-    const TimeLimit limit(this->socket.get_executor(), this->listener.limits.headerTimeout, [this] {
-      ErrorCode ignored;
-      this->socket.cancel(ignored);
-    });
-    co_await http::async_read_header(this->socket, this->buffer, parser, RedirectError(error));
-    if (error) {
-      co_await this->RefuseBadRequest(error, limit.Expired());
-      co_return std::nullopt;
-    }
+  const ErrorCode error = co_await this->Parse(parser, false, this->listener.limits.headerTimeout);
+  if (error) {
+    co_await this->RefuseBadRequest(error);
+    co_return std::nullopt;
   }
   this->keepAlive = parser.keep_alive();
   constexpr unsigned kMinChunkedVersion = 11;
@@ -180,13 +233,10 @@
 Task<void>
 CallerSession::WatchForDisconnect()
 {
-  // A read that completed just before the watch was stopped cannot be cancelled any more; another
+  // A wait that completed just before the watch was stopped cannot be cancelled any more; another
   // one would wait for the caller's next request and delay the current one's end.
   while (!this->watchStopped && this->buffer.size() < kMaxReadAheadBytes) {
-    ErrorCode error;
-    const std::size_t count = co_await this->socket.async_read_some(
-      this->buffer.prepare(kReadBufferBytes), RedirectError(error));
-    this->buffer.commit(count);
+    const ErrorCode error = co_await this->Receive();
     if (error) {
       if (error != asio::error::operation_aborted) {
         this->keepAlive = false;
@@ -245,14 +295,17 @@
 CallerSession::Run()
 {
   const auto self = this->shared_from_this();
-  do {
+  while (true) {
     const std::optional<CallerRequest> request = co_await this->ReadRequest();
     if (!request.has_value()) {
       break;
     }
     co_await this->ServeOne(*request);
+    if (!this->answerComplete || !this->keepAlive) {
+      break;
+    }
     this->busy = false;
-  } while (this->answerComplete && this->keepAlive);
+  }
   co_await this->CloseGracefully();
 }
 
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -23,8 +23,12 @@
   /// @brief Serves requests until the connection is closed.
   Task<void> Run();
 
-  /// @brief Returns whether a request is being read or served.
-  bool Busy() const { return this->busy; }
+  /// @brief Returns whether closing the connection could cost an answer: bytes of a request have
+  ///        arrived, it is being served, or the caller may not have read the last answer yet.
+  bool Busy() const;
+
+  /// @brief Closes the connection unless it is busy.
+  void CloseIfIdle();
 
   /// @brief Closes the connection immediately.
   void Close();
@@ -39,10 +43,12 @@
 private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  Task<ErrorCode> Receive();
   Task<bool> WaitForBytes();
+  Task<ErrorCode> Parse(Parser& aParser, bool aWholeMessage, std::chrono::nanoseconds aTimeout);
   Task<std::optional<CallerRequest>> ReadRequest();
   Task<bool> ReadBody(Parser& aParser);
-  Task<void> RefuseBadRequest(ErrorCode aError, bool aTimedOut);
+  Task<void> RefuseBadRequest(ErrorCode aError);
   Task<void> ServeOne(const CallerRequest& aRequest);
   Task<void> WatchForDisconnect();
   Task<void> StopDisconnectWatch();
--- a/src/serving/http_listener.cpp
+++ b/src/serving/http_listener.cpp
@@ -87,9 +87,7 @@
 HttpListener::CloseIdle()
 {
   for (CallerSession* session : this->sessions) {
-    if (!session->Busy()) {
-      session->Close();
-    }
+    session->CloseIfIdle();
   }
 }
 
--- a/src/serving/http_listener.hpp
+++ b/src/serving/http_listener.hpp
@@ -42,13 +42,13 @@
   /// @brief Starts draining: each answer whose head is written from now on closes its connection.
   void BeginDrain() { this->draining = true; }
 
-  /// @brief Closes the connections without a request in flight.
+  /// @brief Closes the connections that are not busy; see CallerSession::Busy().
   void CloseIdle();
 
   /// @brief Stops accepting and closes all connections; their coroutines end soon after.
   void Close();
 
-  /// @brief Counts the connections with a request in flight.
+  /// @brief Counts the connections that are busy; see CallerSession::Busy().
   std::size_t CountBusy() const;
 
 private:
