Forward responses that are no event streams whole, and continue only event streams

Cause: bytes of any response were passed on as they came, and a broken answer was continued wherever the route may be resumed, whatever had begun.

Change: IsRelayedByEvent() is the one place that says what is relayed event by event, may be continued and may continue: a 200 event stream. Everything else is read whole first; if it breaks off, nothing of it was sent, and it is retried on a resumable route or answered 502. A stream without event ids is not begun again elsewhere. A whole 5xx of an engine now counts as a failure for its health, as on plain routes.

Why it works: before the end of a failure nothing has been begun at the caller that a second run could be joined to.

--- a/include/plantainslip/serving/event_stream.hpp
+++ b/include/plantainslip/serving/event_stream.hpp
@@ -11,6 +11,19 @@
 bool
 IsEventStream(const HeaderList& aHeaders);
 
+/// @brief Returns whether a response is relayed event by event as it arrives.
+///
+/// Only such a response can be continued by another target's response, and only such a response can
+/// continue one. Any other is forwarded whole or not at all. On a route of streams, a success
+/// without a media type counts as events, and so does one without a length or chunks, because only
+/// its events show whether it is whole.
+/// @param aEndsWithConnection  whether nothing but the end of the connection ends the response
+bool
+IsRelayedByEvent(RequestKind aKind,
+                 int aStatus,
+                 const HeaderList& aHeaders,
+                 bool aEndsWithConnection);
+
 /// @brief Splits an event stream (`text/event-stream`) at event boundaries.
 ///
 /// Guards against targets that fail in the middle of an event: only complete events are forwarded,
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -75,7 +75,9 @@
   Task<void> Decode();
   Task<Attempt> SendDecode(AttemptCall& aCall, const Target& aEngine);
   std::optional<Target> NextDecodeEngine(const Target& aEngine, const Attempt& aAttempt);
-  Task<void> CompleteAnswer(AttemptCall& aCall, const Attempt& aAttempt);
+  bool RelaysEvents(const Attempt& aAttempt) const;
+  Task<bool> ForwardWhole(AttemptCall& aCall, Attempt& aAttempt);
+  Task<void> CompleteAnswer(const Attempt& aAttempt, std::string aBody);
   Task<StreamOutcome> RelayStream(AttemptCall& aCall, const Attempt& aAttempt);
   void LogUnframedEnd(const Attempt& aAttempt) const;
   Task<bool> Forward(const Attempt& aAttempt, std::string aBytes);
@@ -333,7 +335,10 @@
 bool
 Completion::TakeRetryIfResumable()
 {
-  return this->request.route.resumable && this->TakeRetryIfAttemptsRemain();
+  // Without the id of the last event, another engine would repeat what was forwarded.
+  const bool isContinuable =
+    !this->request.writer.HasStarted() || !this->events.LastEventId().empty();
+  return this->request.route.resumable && isContinuable && this->TakeRetryIfAttemptsRemain();
 }
 
 Task<bool>
@@ -360,18 +365,23 @@
   co_return written;
 }
 
+bool
+Completion::RelaysEvents(const Attempt& aAttempt) const
+{
+  return IsRelayedByEvent(this->request.route.kind,
+                          aAttempt.head.status,
+                          aAttempt.head.headers,
+                          aAttempt.head.framing == BodyFraming::kConnectionEnd);
+}
+
 Task<Completion::StreamOutcome>
 Completion::RelayStream(AttemptCall& aCall, const Attempt& aAttempt)
 {
-  const bool wholeEvents = IsEventStream(aAttempt.head.headers) ||
-                           (this->request.route.resumable && aAttempt.head.status == kOk);
   bool hasBegun = false;
   while (true) {
     std::string bytes;
     const absl::StatusOr<bool> more = co_await aCall.ReadSome(bytes);
-    if (wholeEvents) {
-      bytes = this->events.ExtractComplete(bytes);
-    }
+    bytes = this->events.ExtractComplete(bytes);
     if (!hasBegun && !bytes.empty()) {
       hasBegun = true;
       aCall.RecordAnswer();
@@ -387,8 +397,7 @@
     if (!*more) {
       this->LogUnframedEnd(aAttempt);
       // Without an end mark, a stream that has not begun cannot have ended.
-      const bool neverBegan =
-        wholeEvents && !hasBegun && aAttempt.head.framing == BodyFraming::kConnectionEnd;
+      const bool neverBegan = !hasBegun && aAttempt.head.framing == BodyFraming::kConnectionEnd;
       co_return this->events.HasPartial() || neverBegan ? StreamOutcome::kBroken
                                                         : StreamOutcome::kComplete;
     }
@@ -411,13 +420,11 @@
               { "inside_event", this->events.HasPartial() ? "yes" : "no" } });
 }
 
-// Completes the caller's answer.
+// Completes the caller's answer. The body is empty if its parts were forwarded as they came.
 Task<void>
-Completion::CompleteAnswer(AttemptCall& aCall, const Attempt& aAttempt)
+Completion::CompleteAnswer(const Attempt& aAttempt, std::string aBody)
 {
-  aCall.ReturnConnection();
-  std::string reason = "answered";
-  LogRequestEnd(this->context, this->request, aAttempt.head.status, reason);
+  LogRequestEnd(this->context, this->request, aAttempt.head.status, "answered");
   this->context.metrics.wholeAnswer.Record(this->context.clock.Now() -
                                            this->request.caller.arrival);
   if (this->request.writer.HasStarted()) {
@@ -425,9 +432,25 @@
     co_return;
   }
   HeaderList headers = ForwardedResponseHeaders(aAttempt.head.headers);
-  std::string empty;
   co_await this->request.writer.WriteWhole(
-    aAttempt.head.status, std::move(headers), std::move(empty));
+    aAttempt.head.status, std::move(headers), std::move(aBody));
+}
+
+// Forwards a response that is no event stream, once it is complete. Returns whether it was; if not,
+// nothing of it has reached the caller, and aAttempt has the reason.
+Task<bool>
+Completion::ForwardWhole(AttemptCall& aCall, Attempt& aAttempt)
+{
+  std::string body = co_await aCall.ReadRemainingBody(aAttempt);
+  const bool complete = aAttempt.state == AttemptState::kAnswered;
+  if (const auto targetResult = ToAttemptResult(aAttempt)) {
+    this->context.health.Record(
+      this->request.sentTo.back(), *targetResult, this->context.clock.Now());
+  }
+  if (complete) {
+    co_await this->CompleteAnswer(aAttempt, std::move(body));
+  }
+  co_return complete;
 }
 
 // Chooses the engine to continue at after a failed attempt, if a retry is allowed.
@@ -467,10 +490,9 @@
   Attempt attempt =
     co_await aCall.SendAndReadHead(plan, TimeLeft(this->context, this->request) + milliseconds(1));
   const bool isResuming = this->request.writer.HasStarted();
-  if (isResuming && attempt.state == AttemptState::kAnswered && attempt.head.status != kOk) {
-    // An error response cannot continue a stream that has started.
+  if (isResuming && attempt.state == AttemptState::kAnswered && !this->RelaysEvents(attempt)) {
     attempt.state = AttemptState::kUnknown;
-    attempt.detail = "status " + std::to_string(attempt.head.status);
+    attempt.detail = "no event stream, status " + std::to_string(attempt.head.status);
   }
   const auto targetResult = ToAttemptResult(attempt);
   if (targetResult.has_value() && attempt.state != AttemptState::kAnswered) {
@@ -504,13 +526,21 @@
     const StreamScope stream(
       this->context, this->request.service.name, this->prompt.promptTokens, !readsPrompt);
     AttemptCall call(this->context, this->request, *engine);
-    const Attempt attempt = co_await this->SendDecode(call, *engine);
-    reason = "decode: " + attempt.detail;
+    Attempt attempt = co_await this->SendDecode(call, *engine);
     if (attempt.state == AttemptState::kAnswered) {
       load.RemoveAllButRequest();
       sourceLoad.reset();
-      call.ClearTimeLimit();
       this->cachedPrompt.reset();
+    }
+    if (attempt.state == AttemptState::kAnswered && !this->RelaysEvents(attempt)) {
+      const bool forwarded = co_await this->ForwardWhole(call, attempt);
+      if (forwarded) {
+        co_return;
+      }
+    }
+    reason = "decode: " + attempt.detail;
+    if (attempt.state == AttemptState::kAnswered) {
+      call.ClearTimeLimit();
       const core::MonotonicTime now = this->context.clock.Now();
       const StreamOutcome outcome = co_await this->RelayStream(call, attempt);
       this->context.health.Record(engine->id,
@@ -518,7 +548,9 @@
                                                                     : AttemptResult::kAnswered,
                                   now);
       if (outcome == StreamOutcome::kComplete) {
-        co_await this->CompleteAnswer(call, attempt);
+        call.ReturnConnection();
+        std::string empty;
+        co_await this->CompleteAnswer(attempt, std::move(empty));
         co_return;
       }
       reason = "stream broke";
--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -15,6 +15,20 @@
          EqualIgnoringCase(type->substr(0, type->find_first_of("; ")), "text/event-stream");
 }
 
+bool
+IsRelayedByEvent(RequestKind aKind,
+                 int aStatus,
+                 const HeaderList& aHeaders,
+                 bool aEndsWithConnection)
+{
+  constexpr int kOk = 200;
+  if (aStatus != kOk || IsEventStream(aHeaders)) {
+    return aStatus == kOk;
+  }
+  const bool isUnmarked = FindHeader(aHeaders, "Content-Type") == nullptr || aEndsWithConnection;
+  return aKind == RequestKind::kStream && isUnmarked;
+}
+
 std::string
 EventStream::ExtractComplete(std::string_view aBytes)
 {
--- /dev/null
+++ b/tests/harness/raw_target_fleet.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <string>
+
+#include "fakes/raw_target.hpp"
+#include "wire_fleet.hpp"
+
+namespace plantainslip::harness {
+
+/// @brief One instance in front of a target that sends given bytes as its response.
+class RawTargetFleet
+{
+public:
+  /// @param aService  `models` for an engine, `desk` for a plain target
+  /// @param aOtherStage  stage of a further engine with whole answers, if there is to be one
+  RawTargetFleet(const std::string& aService,
+                 const std::string& aStage,
+                 const std::string& aResponse,
+                 fakes::RawEnding aEnding,
+                 const std::string& aOtherStage = "")
+    : target(aResponse, aEnding)
+  {
+    this->fleet.WriteEntry("i-raw", this->target.Address(), aService, aStage);
+    if (!aOtherStage.empty()) {
+      this->fleet.AddTarget("i-z", "models", aOtherStage);
+    }
+    if (aStage != "prefill") {
+      this->fleet.AddTarget("i-p", "models", "prefill");
+    }
+    this->fleet.Configure(3);
+    this->fleet.StartGateway();
+  }
+
+  CallerAnswer Complete(const std::string& aPath)
+  {
+    CallerAnswer answer;
+    // Refused until the instance has read the directory.
+    Await("the target to be used", [&] {
+      answer = this->Send(aPath);
+      return this->target.CountRequests() > 0;
+    });
+    return answer;
+  }
+
+  CallerAnswer Send(const std::string& aPath)
+  {
+    const std::string id = "r" + std::to_string(++this->requests);
+    return this->fleet.Call("POST", aPath, id, WireFleet::CompletionHeaders(), "the prompt");
+  }
+
+  bool HasMetric(const std::string& aLine) const
+  {
+    return this->fleet.Metrics().find(aLine) != std::string::npos;
+  }
+
+  fakes::RawTarget target;
+  WireFleet fleet;
+  int requests = 0;
+};
+
+} // namespace plantainslip::harness
--- a/tests/src/process-unframed-answers.cpp
+++ b/tests/src/process-unframed-answers.cpp
@@ -5,15 +5,15 @@
 
 #include <plantainslip/targets/plain_service.hpp>
 
-#include "fakes/raw_target.hpp"
 #include "harness/raw_connection.hpp"
-#include "harness/wire_fleet.hpp"
+#include "harness/raw_target_fleet.hpp"
 
 using namespace plantainslip; // NOLINT(google-build-using-namespace)
 using fakes::RawEnding;
 using fakes::RawTarget;
 using harness::Await;
 using harness::CallerAnswer;
+using harness::RawTargetFleet;
 using harness::WireFleet;
 
 namespace {
@@ -23,57 +23,6 @@
 const std::string kEvent = "id: 1\ndata: piece 1\n\n";
 const std::string kBrokenStream = kStreamHead + kEvent + "id: 2\ndata: pi";
 
-/// One instance in front of a target whose responses have neither a length nor chunks.
-class UnframedFleet
-{
-public:
-  /// @param aService  `models` for an engine, `desk` for a plain target
-  /// @param aOtherStage  stage of a further engine with whole answers, if there is to be one
-  UnframedFleet(const std::string& aService,
-                const std::string& aStage,
-                const std::string& aResponse,
-                RawEnding aEnding,
-                const std::string& aOtherStage = "")
-    : target(aResponse, aEnding)
-  {
-    this->fleet.WriteEntry("i-raw", this->target.Address(), aService, aStage);
-    if (!aOtherStage.empty()) {
-      this->fleet.AddTarget("i-z", "models", aOtherStage);
-    }
-    if (aStage != "prefill") {
-      this->fleet.AddTarget("i-p", "models", "prefill");
-    }
-    this->fleet.Configure(3);
-    this->fleet.StartGateway();
-  }
-
-  CallerAnswer Complete(const std::string& aPath)
-  {
-    CallerAnswer answer;
-    // Refused until the instance has read the directory.
-    Await("the target to be used", [&] {
-      answer = this->Send(aPath);
-      return this->target.CountRequests() > 0;
-    });
-    return answer;
-  }
-
-  CallerAnswer Send(const std::string& aPath)
-  {
-    const std::string id = "r" + std::to_string(++this->requests);
-    return this->fleet.Call("POST", aPath, id, WireFleet::CompletionHeaders(), "the prompt");
-  }
-
-  bool HasMetric(const std::string& aLine) const
-  {
-    return this->fleet.Metrics().find(aLine) != std::string::npos;
-  }
-
-  RawTarget target;
-  WireFleet fleet;
-  int requests = 0;
-};
-
 } // namespace
 
 TEST_CASE("a stream without a length that ends inside an event does not look complete")
@@ -82,7 +31,7 @@
     for (const std::string path : { "/quote/x", "/note/x" }) {
       CAPTURE(path);
       CAPTURE(static_cast<int>(ending));
-      UnframedFleet unframed("models", "decode", kBrokenStream, ending);
+      RawTargetFleet unframed("models", "decode", kBrokenStream, ending);
       const CallerAnswer answer = unframed.Complete(path);
       CHECK(answer.status == 200);
       CHECK_FALSE(answer.complete);
@@ -97,7 +46,7 @@
     for (const std::string path : { "/quote/x", "/note/x" }) {
       CAPTURE(path);
       CAPTURE(static_cast<int>(ending));
-      UnframedFleet unframed("models", "decode", kStreamHead, ending);
+      RawTargetFleet unframed("models", "decode", kStreamHead, ending);
       CHECK(unframed.Complete(path).status == 502);
     }
   }
@@ -109,7 +58,7 @@
     for (const std::string path : { "/quote/x", "/note/x" }) {
       CAPTURE(path);
       CAPTURE(static_cast<int>(ending));
-      UnframedFleet unframed("models", "decode", kStreamHead + kEvent, ending);
+      RawTargetFleet unframed("models", "decode", kStreamHead + kEvent, ending);
       const CallerAnswer answer = unframed.Complete(path);
       CHECK_FALSE(answer.complete);
       CHECK(answer.body == kEvent);
@@ -121,7 +70,7 @@
 {
   for (const std::string path : { "/quote/x", "/note/x" }) {
     CAPTURE(path);
-    UnframedFleet unframed("models", "decode", kStreamHead + kEvent, RawEnding::kClose);
+    RawTargetFleet unframed("models", "decode", kStreamHead + kEvent, RawEnding::kClose);
     const CallerAnswer answer = unframed.Complete(path);
     CHECK(answer.status == 200);
     CHECK(answer.complete);
@@ -131,7 +80,7 @@
 
 TEST_CASE("a stream without a length that breaks off is resumed at another engine")
 {
-  UnframedFleet unframed("models", "decode", kBrokenStream, RawEnding::kClose, "decode");
+  RawTargetFleet unframed("models", "decode", kBrokenStream, RawEnding::kClose, "decode");
   const CallerAnswer answer = unframed.Complete("/note/x");
   CHECK(answer.complete);
   std::string expected;
@@ -144,7 +93,7 @@
 
 TEST_CASE("a broken stream does not look complete to a caller that reads to the connection's end")
 {
-  UnframedFleet unframed("models", "decode", kBrokenStream, RawEnding::kClose);
+  RawTargetFleet unframed("models", "decode", kBrokenStream, RawEnding::kClose);
   unframed.Complete("/quote/x");
   const harness::RawConnection connection(unframed.fleet.Callers());
   connection.Send("POST /quote/x HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: old\r\n"
@@ -159,7 +108,7 @@
 {
   for (const RawEnding ending : { RawEnding::kReset, RawEnding::kEndProcess }) {
     CAPTURE(static_cast<int>(ending));
-    UnframedFleet unframed("desk", "", kHead + "\r\nhalf an ans", ending);
+    RawTargetFleet unframed("desk", "", kHead + "\r\nhalf an ans", ending);
     CHECK(unframed.Complete("/pay/x").status == 502);
     CHECK(unframed.target.CountRequests() == 1);
   }
@@ -167,7 +116,7 @@
 
 TEST_CASE("a whole answer without a length is passed on")
 {
-  UnframedFleet unframed("desk", "", kHead + "\r\nthe answer", RawEnding::kClose);
+  RawTargetFleet unframed("desk", "", kHead + "\r\nthe answer", RawEnding::kClose);
   const CallerAnswer answer = unframed.Complete("/pay/x");
   CHECK(answer.status == 200);
   CHECK(answer.body == "the answer");
@@ -177,14 +126,14 @@
 {
   for (const RawEnding ending : { RawEnding::kClose, RawEnding::kReset, RawEnding::kEndProcess }) {
     CAPTURE(static_cast<int>(ending));
-    UnframedFleet unframed("models", "prefill", kHead + "\r\n{\"handle\":\"h", ending, "decode");
+    RawTargetFleet unframed("models", "prefill", kHead + "\r\n{\"handle\":\"h", ending, "decode");
     CHECK(unframed.Complete("/quote/x").status == 503);
   }
 }
 
 TEST_CASE("a target that ends in a response without a length is evidence against the prompt")
 {
-  UnframedFleet unframed("models", "decode", kStreamHead, RawEnding::kEndProcess);
+  RawTargetFleet unframed("models", "decode", kStreamHead, RawEnding::kEndProcess);
   unframed.Complete("/quote/x");
   Await("the target's end to be noticed",
         [&] { return unframed.HasMetric("targets_ended_total{kind=\"models\"} 1"); });
--- a/tests/src/unit-request-digest.cpp
+++ b/tests/src/unit-request-digest.cpp
@@ -52,3 +52,25 @@
   CHECK_FALSE(IsEventStream({ { "Content-Type", "application/json" } }));
   CHECK_FALSE(IsEventStream({}));
 }
+
+// Guards against a failure, or another kind of body, that is joined with an event stream.
+TEST_CASE("only a successful event stream is relayed event by event")
+{
+  const HeaderList stream = { { "Content-Type", "text/event-stream" } };
+  const HeaderList json = { { "Content-Type", "application/json" } };
+  const HeaderList none = {};
+  for (const RequestKind kind : { RequestKind::kStream, RequestKind::kAtMostOnce }) {
+    for (const bool unframed : { false, true }) {
+      CHECK(IsRelayedByEvent(kind, 200, stream, unframed));
+      for (const int status : { 201, 400, 500, 503 }) {
+        CHECK_FALSE(IsRelayedByEvent(kind, status, stream, unframed));
+        CHECK_FALSE(IsRelayedByEvent(kind, status, none, unframed));
+      }
+    }
+  }
+  CHECK(IsRelayedByEvent(RequestKind::kStream, 200, none, false));
+  CHECK(IsRelayedByEvent(RequestKind::kStream, 200, json, true));
+  CHECK_FALSE(IsRelayedByEvent(RequestKind::kStream, 200, json, false));
+  CHECK_FALSE(IsRelayedByEvent(RequestKind::kAtMostOnce, 200, none, true));
+  CHECK_FALSE(IsRelayedByEvent(RequestKind::kAtMostOnce, 200, json, true));
+}
