Take an unframed response for cut if its request could not be sent

Cause, one of several candidates: the kernel reports a reset once. If it is reported to the sender of the request, what was received before can still be read, and then the end of the connection looks clean. A response with neither a length nor chunks is then taken for whole.

Evidence: a stand-in that answers before it has read the request's body and resets the connection.

Change: such a response counts as cut when sending has failed, with a log line that names the reason.

--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -253,12 +253,25 @@
 {
   // The system closes the connections of a process that crashes in the same way as the process
   // itself does at the end of a response.
-  const bool mayBeCut = this->framing == BodyFraming::kConnectionEnd;
-  if (mayBeCut && co_await this->context.pool.IsConnectionRefused(this->target.address)) {
-    this->context.metrics.Count("unframed_responses_cut_total", this->request.route.name);
-    co_return core::MakeError(errors::kConnectionLost, "the target ended with its response");
+  if (this->framing != BodyFraming::kConnectionEnd) {
+    co_return absl::OkStatus();
   }
-  co_return absl::OkStatus();
+  std::string reason;
+  if (this->sendFailed) {
+    reason = "the connection was lost while the request was sent";
+  } else if (co_await this->context.pool.IsConnectionRefused(this->target.address)) {
+    reason = "the target ended with its response";
+  }
+  if (reason.empty()) {
+    co_return absl::OkStatus();
+  }
+  this->context.metrics.Count("unframed_responses_cut_total", this->request.route.name);
+  core::Log(core::LogLevel::kInfo,
+            "response without a length counts as cut",
+            { { "request", this->request.info.id.Text() },
+              { "target", this->target.id.Text() },
+              { "reason", reason } });
+  co_return core::MakeError(errors::kConnectionLost, reason);
 }
 
 Task<absl::StatusOr<bool>>
@@ -341,6 +354,7 @@
   std::string requestHead = this->RequestHead(aPlan);
   const absl::Status sent =
     co_await this->call->Send(std::move(requestHead), this->request.caller.body);
+  this->sendFailed = !sent.ok();
   // A target may respond before it has read the whole request and then close the connection, so the
   // response is read even if sending failed.
   auto head = co_await this->call->ReadHead(this->request.caller.method == "HEAD");
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -95,6 +95,9 @@
   AttemptStep step = AttemptStep::kWhole;
   int status = 0;
   BodyFraming framing = BodyFraming::kLength;
+  /// @brief Whether sending the request failed. The kernel reports a reset once, so the response
+  ///        may then seem to end well although it was cut.
+  bool sendFailed = false;
   /// @brief Whether RecordAnswer() was called.
   bool hasAnswer = false;
 };
--- a/tests/fakes/raw_target.cpp
+++ b/tests/fakes/raw_target.cpp
@@ -68,6 +68,11 @@
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): sockets interface
   auto* const generic = reinterpret_cast<sockaddr*>(&bound);
   constexpr int kBacklog = 64;
+  if (aEnding == RawEnding::kResetUnread) {
+    // So small that the request does not fit and its sender has to wait.
+    const int receiveBytes = 4'096;
+    ::setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
+  }
   if (::bind(this->listener, generic, size) != 0 || ::listen(this->listener, kBacklog) != 0 ||
       ::getsockname(this->listener, generic, &size) != 0) {
     throw std::runtime_error("cannot listen");
@@ -108,6 +113,9 @@
   std::array<char, 4'096> bytes{};
   while (!this->stopping) {
     const std::size_t headEnd = request.find("\r\n\r\n");
+    if (headEnd != std::string::npos && this->ending == RawEnding::kResetUnread) {
+      return request;
+    }
     if (headEnd != std::string::npos) {
       const std::string length = FieldValue(request, "Content-Length");
       const std::size_t bodyBytes = length.empty() ? 0 : std::stoul(length);
@@ -149,7 +157,8 @@
 {
   // Until the bytes have been read, as a reset would discard them.
   std::this_thread::sleep_for(kReadDelay);
-  if (this->ending == RawEnding::kReset) {
+  this->ended = true;
+  if (this->ending == RawEnding::kReset || this->ending == RawEnding::kResetUnread) {
     const linger reset{ 1, 0 };
     ::setsockopt(aConnection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
   } else if (this->ending == RawEnding::kEndProcess) {
@@ -157,6 +166,27 @@
   }
 }
 
+std::string
+RawTarget::Response(const std::string& aRequest) const
+{
+  const bool isReport = aRequest.starts_with("GET /plantainslip/report ");
+  if (this->ended && this->ending == RawEnding::kReplaceProcess) {
+    return FieldValue(aRequest, "X-Expect-Instance").empty()
+             ? "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+             : "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+  }
+  if (isReport) {
+    const bool isLater = this->ended && this->ending == RawEnding::kRestartProcess;
+    const std::string body = isLater ? R"({"born":2000})" : R"({"born":1000})";
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  std::string response = this->beginning;
+  if (const std::size_t mark = response.find("{id}"); mark != std::string::npos) {
+    response.replace(mark, 4, FieldValue(aRequest, "X-Request-Id"));
+  }
+  return response;
+}
+
 void
 RawTarget::Serve(int aConnection)
 {
@@ -165,12 +195,11 @@
     ::close(aConnection);
     return;
   }
-  ++this->requests;
-  std::string first = this->beginning;
-  if (const std::size_t mark = first.find("{id}"); mark != std::string::npos) {
-    first.replace(mark, 4, FieldValue(request, "X-Request-Id"));
+  while (this->ended && this->ending == RawEnding::kStopAnswering && !this->stopping) {
+    std::this_thread::sleep_for(kReadDelay);
   }
-  bool open = this->Send(aConnection, std::move(first));
+  ++this->requests;
+  bool open = this->Send(aConnection, this->Response(request));
   if (this->ending.has_value()) {
     this->End(aConnection);
   } else {
--- a/tests/fakes/raw_target.hpp
+++ b/tests/fakes/raw_target.hpp
@@ -19,6 +19,15 @@
   kReset,
   /// @brief Ends like a process: refuses new connections and closes this one with FIN.
   kEndProcess,
+  /// @brief Ends like a process with FIN; another process, with another id, has its address by
+  /// then.
+  kReplaceProcess,
+  /// @brief Ends like a process with FIN; a later start of the same target has its address by then.
+  kRestartProcess,
+  /// @brief Closes the connection with FIN, takes further ones and answers none.
+  kStopAnswering,
+  /// @brief Responds before it has read the body of the request, and resets the connection.
+  kResetUnread,
 };
 
 /// @brief Target that answers each request with given bytes, whether or not they are a response.
@@ -56,6 +65,8 @@
   void Accept();
   void Serve(int aConnection);
   std::string ReadRequest(int aConnection) const;
+  /// @brief Returns what is sent in response to a request.
+  std::string Response(const std::string& aRequest) const;
   /// @brief Sends bytes.
   /// @return false if the caller has closed the connection
   bool Send(int aConnection, std::string aBytes) const;
@@ -70,6 +81,8 @@
   net::Address address;
   std::atomic<bool> stopping = false;
   std::atomic<int> requests = 0;
+  /// @brief Whether a response has ended.
+  std::atomic<bool> ended = false;
   std::atomic<int> closed = 0;
   std::jthread thread;
 };
--- a/tests/harness/raw_target_fleet.hpp
+++ b/tests/harness/raw_target_fleet.hpp
@@ -31,21 +31,21 @@
     this->fleet.StartGateway();
   }
 
-  CallerAnswer Complete(const std::string& aPath)
+  CallerAnswer Complete(const std::string& aPath, const std::string& aBody = "the prompt")
   {
     CallerAnswer answer;
     // Refused until the instance has read the directory.
     Await("the target to be used", [&] {
-      answer = this->Send(aPath);
+      answer = this->Send(aPath, aBody);
       return this->target.CountRequests() > 0;
     });
     return answer;
   }
 
-  CallerAnswer Send(const std::string& aPath)
+  CallerAnswer Send(const std::string& aPath, const std::string& aBody = "the prompt")
   {
     const std::string id = "r" + std::to_string(++this->requests);
-    return this->fleet.Call("POST", aPath, id, WireFleet::CompletionHeaders(), "the prompt");
+    return this->fleet.Call("POST", aPath, id, WireFleet::CompletionHeaders(), aBody);
   }
 
   bool HasMetric(const std::string& aLine) const
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -210,7 +210,7 @@
 }
 
 void
-WireFleet::Configure(std::uint64_t aVersion, const std::string& aAdded)
+WireFleet::Configure(std::uint64_t aVersion, const std::string& aAdded, std::uint64_t aMaxBodyBytes)
 {
   json quote = MakeRoute("quote", "stream", "models");
   json note = MakeRoute("note", "stream", "models");
@@ -232,7 +232,7 @@
                     { { "name", "desk" }, { "maxConnections", 100 } } }) },
     { "limits",
       { { "maxHeaderBytes", 16'384 },
-        { "maxBodyBytes", 65'536 },
+        { "maxBodyBytes", aMaxBodyBytes },
         { "headerTimeoutMs", 3'000 },
         { "idleTimeoutMs", 15'000 } } }
   };
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -63,7 +63,9 @@
   ///        (resumable stream, two targets), `/pay/` (at most once) and `/look/` (idempotent, two
   ///        targets).
   /// @param aAdded  name of a further route of the kind of `/look/`, if any
-  void Configure(std::uint64_t aVersion, const std::string& aAdded = "");
+  void Configure(std::uint64_t aVersion,
+                 const std::string& aAdded = "",
+                 std::uint64_t aMaxBodyBytes = 65'536);
 
   /// @brief Starts an instance of the gateway.
   /// @param aAwaitReady  whether to wait until it is ready
--- a/tests/src/process-unframed-answers.cpp
+++ b/tests/src/process-unframed-answers.cpp
@@ -104,6 +104,25 @@
   CHECK(connection.WasReset());
 }
 
+// Guards against a reset that is reported to the request's sender, after which the response seems
+// to end well.
+TEST_CASE("an answer without a length does not look complete if its request could not be sent")
+{
+  // Larger than what the sockets buffer.
+  const std::string body(4'100'000, 'x');
+  for (const std::string path : { "/quote/x", "/note/x", "/pay/x" }) {
+    CAPTURE(path);
+    const bool isStream = path != "/pay/x";
+    RawTargetFleet unframed(isStream ? "models" : "desk",
+                            isStream ? "decode" : "",
+                            isStream ? kStreamHead + kEvent : kHead + "\r\nhalf an ans",
+                            RawEnding::kResetUnread);
+    unframed.fleet.Configure(4, "", 2 * body.size());
+    const CallerAnswer answer = unframed.Complete(path, body);
+    CHECK_FALSE((answer.status == 200 && answer.complete));
+  }
+}
+
 TEST_CASE("an answer without a length that breaks off is not a success")
 {
   for (const RawEnding ending : { RawEnding::kReset, RawEnding::kEndProcess }) {
