Ask a target for its report after a response that only its connection's end marks

Cause, the rest of the candidates: after such an end the target was taken to be alive unless a connection was refused. A later process at its address, a restart of the target, and one that takes connections and answers none all passed.

Evidence: a stand-in that ends its response between two events or halfway and then behaves in these three ways; 9 of 9 new checks failed on the code before (streams of both kinds and plain answers).

Change: the target is asked for its report, with the header by which any other process refuses. It has to answer within 500 ms, not with 421, and with the start time that the directory lists; else the response counts as cut.

--- a/include/plantainslip/serving/target_notices.hpp
+++ b/include/plantainslip/serving/target_notices.hpp
@@ -26,6 +26,19 @@
   return { aTarget.id, aTarget.startedAt };
 }
 
+/// @brief Returns whether the response to a request for a target's report shows that the process
+///        that a directory entry describes is still running.
+/// @param aStatus  status of the response; any process but the target misdirects the request
+/// @param aStartedAt  start time that the report states, if any
+inline bool
+IsRunning(const Target& aTarget, int aStatus, std::optional<std::uint64_t> aStartedAt)
+{
+  constexpr int kMisdirected = 421;
+  const bool isOtherStart =
+    aStartedAt.has_value() && aTarget.startedAt != 0 && *aStartedAt != aTarget.startedAt;
+  return aStatus != kMisdirected && !isOtherStart;
+}
+
 /// @brief Remembers what targets state about themselves in their responses.
 ///
 /// A leaving target may be unable to tell the store, and the store unable to tell this instance, so
--- a/include/plantainslip/serving/target_protocol.hpp
+++ b/include/plantainslip/serving/target_protocol.hpp
@@ -141,6 +141,16 @@
   /// @brief Returns the name of the request id header field, which responses echo.
   virtual std::string_view RequestIdHeader() const = 0;
 
+  /// @brief Returns the header field by which any process but the target refuses a request.
+  virtual Header ExpectedTarget(const core::TargetId& aTarget) const = 0;
+
+  /// @brief Returns the path at which a GET request gets a target's report on itself.
+  virtual std::string ReportPath() const = 0;
+
+  /// @brief Parses the start time in a report.
+  /// @return Unix milliseconds, or nothing if the report states none
+  virtual std::optional<std::uint64_t> ReadStartTime(const std::string& aReport) const = 0;
+
   /// @brief Returns the path at which a DELETE request releases a handle.
   virtual std::string HandlePath(const std::string& aHandle) const = 0;
 
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -4,6 +4,7 @@
 #include <plantainslip/serving/errors.hpp>
 
 #include "http_head.hpp"
+#include "simple_call.hpp"
 #include "spawn.hpp"
 
 namespace plantainslip::serving {
@@ -16,6 +17,8 @@
 /// therefore use only connections that were in use shortly before.
 constexpr milliseconds kMaxIdleIdempotent{ 4'000 };
 constexpr milliseconds kMaxIdleAtMostOnce{ 1'000 };
+/// A target that is busy with a long step still sends its report within this time.
+constexpr milliseconds kReportTimeout{ 500 };
 /// Excludes all idle connections.
 constexpr milliseconds kNewConnection{ -1 };
 
@@ -248,6 +251,31 @@
   }
 }
 
+Task<bool>
+AttemptCall::IsTargetRunning()
+{
+  SimpleRequest report;
+  report.address = this->target.address;
+  report.method = "GET";
+  report.path = this->context.protocol.ReportPath();
+  report.headers.push_back(this->context.protocol.ExpectedTarget(this->target.id));
+  report.timeout = kReportTimeout;
+  report.idempotent = true;
+  const auto answer = co_await SendSimpleRequest(this->context.pool, std::move(report));
+  if (!answer.ok()) {
+    core::Log(core::LogLevel::kInfo,
+              "target's report not received",
+              { { "target", this->target.id.Text() },
+                { "error", std::string(answer.status().message()) } });
+    co_return false;
+  }
+  RecordNotices(this->context,
+                this->target,
+                this->context.protocol.ReadResponse(answer->status, answer->headers));
+  co_return IsRunning(
+    this->target, answer->status, this->context.protocol.ReadStartTime(answer->body));
+}
+
 Task<absl::Status>
 AttemptCall::CheckBodyEnd()
 {
@@ -259,8 +287,8 @@
   std::string reason;
   if (this->sendFailed) {
     reason = "the connection was lost while the request was sent";
-  } else if (co_await this->context.pool.IsConnectionRefused(this->target.address)) {
-    reason = "the target ended with its response";
+  } else if (!co_await this->IsTargetRunning()) {
+    reason = "the target did not confirm that it is still running";
   }
   if (reason.empty()) {
     co_return absl::OkStatus();
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -81,6 +81,9 @@
   ///        target's process has not ended with it.
   /// @return OK, or error 1502 (serving.connection_lost)
   Task<absl::Status> CheckBodyEnd();
+  /// @brief Asks the target for its report.
+  /// @return whether its process is running; false if it does not answer
+  Task<bool> IsTargetRunning();
   AttemptState ClassifyFailure(const absl::Status& aStatus) const;
   void CheckTargetAfter(const absl::Status& aFailure);
 
--- a/tests/fakes/raw_target.cpp
+++ b/tests/fakes/raw_target.cpp
@@ -24,6 +24,12 @@
   return ::poll(&polled, 1, kPollMs) > 0;
 }
 
+bool
+IsReportRequest(const std::string& aRequest)
+{
+  return aRequest.starts_with("GET /plantainslip/report ");
+}
+
 // Returns the value of a header field, or an empty string.
 std::string
 FieldValue(const std::string& aHead, const std::string& aName)
@@ -169,15 +175,15 @@
 std::string
 RawTarget::Response(const std::string& aRequest) const
 {
-  const bool isReport = aRequest.starts_with("GET /plantainslip/report ");
   if (this->ended && this->ending == RawEnding::kReplaceProcess) {
     return FieldValue(aRequest, "X-Expect-Instance").empty()
              ? "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
              : "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
   }
-  if (isReport) {
+  if (IsReportRequest(aRequest)) {
     const bool isLater = this->ended && this->ending == RawEnding::kRestartProcess;
-    const std::string body = isLater ? R"({"born":2000})" : R"({"born":1000})";
+    const std::string body =
+      R"({"born":)" + std::to_string(isLater ? 2 * kStartedAt : kStartedAt) + "}";
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
   std::string response = this->beginning;
@@ -198,7 +204,7 @@
   while (this->ended && this->ending == RawEnding::kStopAnswering && !this->stopping) {
     std::this_thread::sleep_for(kReadDelay);
   }
-  ++this->requests;
+  this->requests += IsReportRequest(request) ? 0 : 1;
   bool open = this->Send(aConnection, this->Response(request));
   if (this->ending.has_value()) {
     this->End(aConnection);
--- a/tests/fakes/raw_target.hpp
+++ b/tests/fakes/raw_target.hpp
@@ -34,6 +34,9 @@
 class RawTarget
 {
 public:
+  /// @brief Start time that it reports, in Unix milliseconds.
+  static constexpr std::uint64_t kStartedAt = 1'000;
+
   /// @brief Creates a target whose responses end with their connection.
   /// @param aBytes  sent once; `{id}` stands for the request id
   RawTarget(std::string aBytes, RawEnding aEnding);
@@ -52,8 +55,8 @@
 
   net::Address Address() const { return this->address; }
 
-  /// @brief Returns how many connections received a request, and how many of these the caller
-  /// closed.
+  /// @brief Returns how many connections received a request other than for a report, and how many
+  /// of these the caller closed.
   int CountRequests() const { return this->requests; }
   int CountClosed() const { return this->closed; }
 
--- a/tests/harness/raw_target_fleet.hpp
+++ b/tests/harness/raw_target_fleet.hpp
@@ -20,7 +20,8 @@
                  const std::string& aOtherStage = "")
     : target(aResponse, aEnding)
   {
-    this->fleet.WriteEntry("i-raw", this->target.Address(), aService, aStage);
+    this->fleet.WriteEntry(
+      "i-raw", this->target.Address(), aService, aStage, "ready", fakes::RawTarget::kStartedAt);
     if (!aOtherStage.empty()) {
       this->fleet.AddTarget("i-z", "models", aOtherStage);
     }
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -192,7 +192,8 @@
                       const net::Address& aAddress,
                       const std::string& aService,
                       const std::string& aStage,
-                      const std::string& aState)
+                      const std::string& aState,
+                      std::uint64_t aStartedAt)
 {
   json entry = { { "service", aService }, { "address", aAddress.Text() },
                  { "zone", "a" },         { "slots", 8 },
@@ -200,6 +201,9 @@
   if (!aStage.empty()) {
     entry["stage"] = aStage;
   }
+  if (aStartedAt != 0) {
+    entry["born"] = aStartedAt;
+  }
   this->store->Put("servers/" + aId, entry.dump());
 }
 
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -50,11 +50,13 @@
                   const std::string& aState = "ready");
 
   /// @brief Writes or replaces the directory entry of a target with a given address.
+  /// @param aStartedAt  start time in the entry; zero for none
   void WriteEntry(const std::string& aId,
                   const net::Address& aAddress,
                   const std::string& aService,
                   const std::string& aStage,
-                  const std::string& aState = "ready");
+                  const std::string& aState = "ready",
+                  std::uint64_t aStartedAt = 0);
 
   /// @brief Removes a target's directory entry.
   void RemoveEntry(const std::string& aId);
--- a/tests/src/process-unframed-answers.cpp
+++ b/tests/src/process-unframed-answers.cpp
@@ -52,9 +52,15 @@
   }
 }
 
+// Guards against streams that were cut between two events and look complete, although their target
+// has ended, is back, was replaced, or answers nobody any more.
 TEST_CASE("a stream without a length whose target ends between two events does not look complete")
 {
-  for (const RawEnding ending : { RawEnding::kReset, RawEnding::kEndProcess }) {
+  for (const RawEnding ending : { RawEnding::kReset,
+                                  RawEnding::kEndProcess,
+                                  RawEnding::kReplaceProcess,
+                                  RawEnding::kRestartProcess,
+                                  RawEnding::kStopAnswering }) {
     for (const std::string path : { "/quote/x", "/note/x" }) {
       CAPTURE(path);
       CAPTURE(static_cast<int>(ending));
@@ -125,7 +131,11 @@
 
 TEST_CASE("an answer without a length that breaks off is not a success")
 {
-  for (const RawEnding ending : { RawEnding::kReset, RawEnding::kEndProcess }) {
+  for (const RawEnding ending : { RawEnding::kReset,
+                                  RawEnding::kEndProcess,
+                                  RawEnding::kReplaceProcess,
+                                  RawEnding::kRestartProcess,
+                                  RawEnding::kStopAnswering }) {
     CAPTURE(static_cast<int>(ending));
     RawTargetFleet unframed("desk", "", kHead + "\r\nhalf an ans", ending);
     CHECK(unframed.Complete("/pay/x").status == 502);
--- a/tests/src/unit-wire.cpp
+++ b/tests/src/unit-wire.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <plantainslip/serving/prefill_model.hpp>
+#include <plantainslip/serving/target_notices.hpp>
 
 #include "directory_wire.hpp"
 #include "settings.hpp"
@@ -217,3 +218,26 @@
     CHECK_FALSE(protocol.ReadResponse(503, { { "Retry-After", invalid } }).retryAfter.has_value());
   }
 }
+
+// Guards against a later process at a target's address that is taken for the target.
+TEST_CASE("a target's report tells whether its process is still running")
+{
+  const wire::TargetWire protocol;
+  Target target;
+  target.id = core::TargetId("i-1");
+  target.startedAt = 1'000;
+  CHECK(protocol.ReportPath() == "/plantainslip/report");
+  CHECK(protocol.ExpectedTarget(target.id).value == "i-1");
+  CHECK(protocol.ReadStartTime(R"({"born":1000,"stage":"decode"})") == 1'000);
+  for (const char* report : { "", "[]", "{}", R"({"born":"1000"})", R"({"born":-1})" }) {
+    CAPTURE(report);
+    CHECK_FALSE(protocol.ReadStartTime(report).has_value());
+  }
+  CHECK(IsRunning(target, 200, 1'000));
+  CHECK(IsRunning(target, 200, std::nullopt));
+  CHECK(IsRunning(target, 503, std::nullopt));
+  CHECK_FALSE(IsRunning(target, 200, 2'000));
+  CHECK_FALSE(IsRunning(target, 421, std::nullopt));
+  target.startedAt = 0;
+  CHECK(IsRunning(target, 200, 2'000));
+}
