Keep a target's rate limit until the target itself states none

Cause: a 421 is not read as a statement of the target, but the missing statement was recorded as the end of its limit and told to all peers. An engine that has just changed its stage answers 421 to all requests that were meant for the old one.

Change: only a response to a request, other than 421, ends a limit by stating none; stated limits count from any response.

Result: the new test fails before and passes after.

--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -47,6 +47,21 @@
   return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
 }
 
+void
+RecordLimit(PathContext& aContext, const Target& aTarget, std::optional<double> aRequestsPerSecond)
+{
+  if (!aContext.limits.Record(ProcessOf(aTarget), aRequestsPerSecond, aContext.clock.Now())) {
+    return;
+  }
+  aContext.metrics.Count("target_limits_total", aTarget.service.Text());
+  core::Log(core::LogLevel::kInfo,
+            "target states another rate limit",
+            { { "target", aTarget.id.Text() },
+              { "service", aTarget.service.Text() },
+              { "requests_per_s",
+                aRequestsPerSecond.has_value() ? std::to_string(*aRequestsPerSecond) : "none" } });
+}
+
 /// @brief An attempt whose connection was lost before its answer had begun.
 struct LostAttempt
 {
@@ -114,15 +129,8 @@
         { "service", aTarget.service.Text() },
         { "directory", !isListed ? "absent" : (listed->second.leaving ? "leaving" : "ready") } });
   }
-  if (aContext.limits.Record(ProcessOf(aTarget), aInfo.requestsPerSecond, now)) {
-    aContext.metrics.Count("target_limits_total", aTarget.service.Text());
-    core::Log(core::LogLevel::kInfo,
-              "target states another rate limit",
-              { { "target", aTarget.id.Text() },
-                { "service", aTarget.service.Text() },
-                { "requests_per_s",
-                  aInfo.requestsPerSecond.has_value() ? std::to_string(*aInfo.requestsPerSecond)
-                                                      : "none" } });
+  if (aInfo.requestsPerSecond.has_value()) {
+    RecordLimit(aContext, aTarget, aInfo.requestsPerSecond);
   }
   if (aInfo.retryAfter.has_value()) {
     aContext.notices.RecordPause(ProcessOf(aTarget), *aInfo.retryAfter, now);
@@ -394,6 +402,10 @@
   }
   attempt.info = this->context.protocol.ReadResponse(head->status, head->headers);
   RecordNotices(this->context, this->target, attempt.info);
+  if (!attempt.info.requestsPerSecond.has_value() && head->status != kMisdirected) {
+    // Only the target's own response to a request ends its limit by stating none.
+    RecordLimit(this->context, this->target, std::nullopt);
+  }
   attempt.head = std::move(*head);
   attempt.state = AttemptState::kAnswered;
   this->status = attempt.head.status;
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -114,7 +114,7 @@
 std::optional<AttemptResult>
 ToAttemptResult(const Attempt& aAttempt);
 
-/// @brief Records what a target states about itself in a response.
+/// @brief Records what a target states about itself in a response to a request or to another call.
 void
 RecordNotices(PathContext& aContext, const Target& aTarget, const ResponseInfo& aInfo);
 
--- a/tests/src/process-target-limits.cpp
+++ b/tests/src/process-target-limits.cpp
@@ -85,3 +85,32 @@
   sendUntil(Clock::now() + kWindow);
   CHECK(static_cast<double>(limitedDesk.Received().size() - before) > 1.5 * 4.0 * kRate + 5.0);
 }
+
+// Guards against a limit that ends with a response of another process or in another stage.
+TEST_CASE("a rate limit holds while its target answers only calls that are misdirected")
+{
+  WireFleet fleet;
+  fakes::WireTarget& limited = fleet.AddTarget("i-s0", "desk", "");
+  fleet.AddTarget("i-s1", "desk", "");
+  fleet.Configure(3);
+  fleet.StartGateway();
+  fleet.AwaitServed("/look/x", 200);
+  constexpr double kRate = 1.0;
+  limited.SetRateLimit("1.0");
+  int requests = 0;
+  const auto send = [&] { fleet.Call("GET", "/look/x", "r" + std::to_string(++requests)); };
+  const std::size_t before = limited.Received().size();
+  harness::Await("the limit to be stated", [&] {
+    send();
+    return limited.Received().size() > before;
+  });
+  limited.SetBehaviors(
+    std::vector<fakes::TargetBehavior>(500, fakes::TargetBehavior::kMisdirected));
+  const Clock::time_point start = Clock::now();
+  while (Clock::now() < start + kWindow) {
+    send();
+  }
+  CHECK(requests > 100);
+  CHECK(fleet.Metrics().find("target_limits_total{kind=\"desk\"} 1\n") != std::string::npos);
+  CHECK(static_cast<double>(MostInWindow(limited, start)) <= 1.5 * 4.0 * kRate + 5.0);
+}
