Search a pause's requests by time in the soak's check

The check of pauses compared each refusal with all requests of a target, so its time grew with their product.

The requests arrive in order, which is now asserted, so those within a pause are found by a binary search. Bounds and counted requests are the same.

--- a/tests/src/process-soak.cpp
+++ b/tests/src/process-soak.cpp
@@ -60,6 +60,15 @@
   Time drainedAt = Time::max();
 };
 
+/// When a request arrived, and the instance that sent it.
+using Sender = std::pair<Time, std::size_t>;
+
+bool
+IsEarlier(const Sender& aLeft, const Sender& aRight)
+{
+  return aLeft.first < aRight.first;
+}
+
 /// A fleet under random disruptions that overlap, and the requests of callers that keep their
 /// connections.
 class Soak
@@ -494,19 +503,24 @@
     for (const Entry& entry : this->entries) {
       CAPTURE(entry.target->Id());
       const auto all = entry.target->Received();
+      // In the order of their arrival, so that those in a pause are found without a full search.
+      std::vector<Sender> senders;
+      this->ForEachAnswered(all, [&](const auto& aReceived, std::size_t aSender, Time) {
+        senders.emplace_back(aReceived.at, aSender);
+      });
+      REQUIRE(std::is_sorted(senders.begin(), senders.end(), IsEarlier));
       this->ForEachAnswered(all, [&](const auto& aRefused, std::size_t aInstance, Time) {
         if (aRefused.retryAfter.empty() || this->calmSince[aInstance] >= aRefused.at) {
           return;
         }
         const auto pause = std::chrono::duration_cast<Clock::duration>(
           std::chrono::duration<double>(std::stod(aRefused.retryAfter)));
-        std::size_t arrivals = 0;
-        this->ForEachAnswered(all, [&](const auto& aReceived, std::size_t aSender, Time) {
-          arrivals += aSender == aInstance && aReceived.at > aRefused.at + kPauseBound &&
-                          aReceived.at < aRefused.at + pause
-                        ? 1U
-                        : 0U;
-        });
+        const Sender begin{ aRefused.at + kPauseBound, 0 };
+        const Sender end{ aRefused.at + pause, 0 };
+        const auto first = std::upper_bound(senders.begin(), senders.end(), begin, IsEarlier);
+        const auto last = std::lower_bound(first, senders.end(), end, IsEarlier);
+        const auto arrivals = std::count_if(
+          first, last, [&](const Sender& aSender) { return aSender.second == aInstance; });
         CHECK(arrivals <= kMaxDuringPause);
       });
     }
