Announce the end of connections that the raw fake closes after a response with a length

Since the gateway asks such a target for its report, it kept the connection of the report and sent the next request on it, which the fake closed unread. The check is as strict as before and now names status and body.

--- a/tests/fakes/raw_target.cpp
+++ b/tests/fakes/raw_target.cpp
@@ -177,14 +177,15 @@
 {
   if (this->ended && this->ending == RawEnding::kReplaceProcess) {
     return FieldValue(aRequest, "X-Expect-Instance").empty()
-             ? "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-             : "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+             ? "HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+             : "HTTP/1.1 421 Misdirected Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
   }
   if (IsReportRequest(aRequest)) {
     const bool isLater = this->ended && this->ending == RawEnding::kRestartProcess;
     const std::string body =
       R"({"born":)" + std::to_string(isLater ? 2 * kStartedAt : kStartedAt) + "}";
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
   }
   std::string response = this->beginning;
   if (const std::size_t mark = response.find("{id}"); mark != std::string::npos) {
--- a/tests/src/process-broken-failures.cpp
+++ b/tests/src/process-broken-failures.cpp
@@ -108,8 +108,8 @@
 {
   const std::string document = "{\"text\":\"a\\n\\n\"}\n\n";
   const std::string framing =
-    "Content-Type: application/json\r\nContent-Length: " + std::to_string(document.size()) +
-    "\r\n\r\n";
+    "Content-Type: application/json\r\nConnection: close\r\nContent-Length: " +
+    std::to_string(document.size()) + "\r\n\r\n";
   const std::string broken = kStreamHead + "\r\n" + kEvent + "id: 2\nda";
   for (std::string response : { kFailure, kSuccess }) {
     CAPTURE(response);
@@ -121,6 +121,8 @@
       const int before = fleet.target.CountRequests();
       const CallerAnswer answer = fleet.Send("/note/x");
       const bool streamBegan = fleet.target.CountRequests() > before;
+      CAPTURE(answer.status);
+      CAPTURE(answer.body);
       CHECK((answer.status == 503 || answer.body == document || answer.body == kEvent));
       CHECK_FALSE((answer.body == kEvent && answer.complete));
       return streamBegan && other.CountRequests() > 0;
