Close the sockets of failed attempts when the test harness reserves ports

Shown by sampling its descriptors: right after tests that leave tens of thousands of connections in TIME-WAIT, the reservation of a pair of ports takes thousands of attempts, and each failed one kept its sockets for as long as its fleet (up to 11,600 at once).

No check is changed.

--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -39,7 +39,6 @@
   std::optional<std::uint16_t> Reserve(int aType, std::uint16_t aPort)
   {
     const int descriptor = ::socket(AF_INET, aType, 0);
-    (aType == SOCK_STREAM ? this->connectionPorts : this->datagramPorts).push_back(descriptor);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -49,8 +48,10 @@
     auto* const genericAddress = reinterpret_cast<sockaddr*>(&address);
     if (::bind(descriptor, genericAddress, size) != 0 ||
         ::getsockname(descriptor, genericAddress, &size) != 0) {
+      ::close(descriptor);
       return std::nullopt;
     }
+    (aType == SOCK_STREAM ? this->connectionPorts : this->datagramPorts).push_back(descriptor);
     // Set only now, as a port that is bound with it may be given to another reservation as well.
     const int reuse = aType == SOCK_STREAM ? 1 : 0;
     (void)::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
@@ -60,7 +61,10 @@
   /// @brief Reserves a port for datagrams and connections, and the next port for connections.
   std::uint16_t ReservePair()
   {
+    // Ports of connections that have ended stay in use for a while, so many attempts may fail; they
+    // must not hold their descriptors.
     while (true) {
+      const std::size_t before = this->connectionPorts.size();
       const auto first = this->Reserve(SOCK_DGRAM, 0);
       constexpr std::uint16_t kMaxPort = 65'535;
       if (first.has_value() && *first < kMaxPort &&
@@ -68,6 +72,11 @@
           this->Reserve(SOCK_STREAM, static_cast<std::uint16_t>(*first + 1)).has_value()) {
         return *first;
       }
+      if (this->connectionPorts.size() > before) {
+        ::close(this->connectionPorts.back());
+        this->connectionPorts.pop_back();
+      }
+      this->ReleaseDatagramPorts();
     }
   }
 
