List both engines from the start in the test of a stream that is continued elsewhere

The second engine was written to the directory after the instance had started. If the first request came before that, the stream broke with nowhere to go on, its engine was avoided from then on, and the case that the test waits for did not come. Both are now listed before the instance starts, the broken one first in order. The checks are the same.

--- a/tests/harness/raw_target_fleet.hpp
+++ b/tests/harness/raw_target_fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "fakes/raw_target.hpp"
@@ -13,13 +14,19 @@
 public:
   /// @param aService  `models` for an engine, `desk` for a plain target
   /// @param aOtherStage  stage of a further engine with whole answers, if there is to be one
+  /// @param aOther  address of a further engine that decodes, if there is to be one; it is listed
+  ///                from the start, after the target
   RawTargetFleet(const std::string& aService,
                  const std::string& aStage,
                  const std::string& aResponse,
                  fakes::RawEnding aEnding,
-                 const std::string& aOtherStage = "")
+                 const std::string& aOtherStage = "",
+                 const std::optional<net::Address>& aOther = std::nullopt)
     : target(aResponse, aEnding)
   {
+    if (aOther.has_value()) {
+      this->fleet.WriteEntry("i-z", *aOther, "models", "decode");
+    }
     this->fleet.WriteEntry(
       "i-raw", this->target.Address(), aService, aStage, "ready", fakes::RawTarget::kStartedAt);
     if (!aOtherStage.empty()) {
--- a/tests/src/process-broken-failures.cpp
+++ b/tests/src/process-broken-failures.cpp
@@ -115,8 +115,7 @@
     CAPTURE(response);
     response.append(framing).append(document);
     RawTarget other(response, RawEnding::kClose);
-    RawTargetFleet fleet("models", "decode", broken, RawEnding::kClose);
-    fleet.fleet.WriteEntry("i-other", other.Address(), "models", "decode");
+    RawTargetFleet fleet("models", "decode", broken, RawEnding::kClose, "", other.Address());
     harness::Await("the stream to be broken off and tried elsewhere", [&] {
       const int before = fleet.target.CountRequests();
       const CallerAnswer answer = fleet.Send("/note/x");
