Log the route's kind, how a response was relayed, both framings and the time given and used

A request's end could not be told apart by path or by time: `request ended` had the framing of the target's response only, and a target's report left a line only when it did not come. For one request's id the log now tells which way its answer took (`kind`, `relay`), how both ends are marked (`framing`, `answer_framing`), and how much of its time the target had used when the end was read (`given_ms`, `used_ms`). No logic changed.

--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -280,8 +280,17 @@
   RecordNotices(this->context,
                 this->target,
                 this->context.protocol.ReadResponse(answer->status, answer->headers));
-  co_return IsRunning(
-    this->target, answer->status, this->context.protocol.ReadStartTime(answer->body));
+  const auto startedAt = this->context.protocol.ReadStartTime(answer->body);
+  const bool running = IsRunning(this->target, answer->status, startedAt);
+  core::Log(core::LogLevel::kInfo,
+            "target's report received",
+            { { "target", this->target.id.Text() },
+              { "service", this->target.service.Text() },
+              { "status", std::to_string(answer->status) },
+              { "started_at", startedAt.has_value() ? std::to_string(*startedAt) : "" },
+              { "listed_start", std::to_string(this->target.startedAt) },
+              { "confirms", running ? "yes" : "no" } });
+  co_return running;
 }
 
 Task<absl::Status>
@@ -314,6 +323,7 @@
 AttemptCall::ReadSome(std::string& aBody)
 {
   absl::StatusOr<bool> more = co_await this->call->ReadSome(aBody);
+  this->request.readUntil = this->context.clock.Now();
   if (more.ok() && !*more) {
     if (const absl::Status ended = co_await this->CheckBodyEnd(); !ended.ok()) {
       more = ended;
@@ -387,7 +397,10 @@
   this->request.mayHaveRun = ranBefore || runsRequest;
   ++this->request.attempts;
   this->request.sentTo.push_back(this->target.id);
+  this->request.sentAt = this->context.clock.Now();
+  this->request.readUntil.reset();
   std::string requestHead = this->RequestHead(aPlan);
+  this->request.timeGiven = aPlan.timeLeft;
   const absl::Status sent =
     co_await this->call->Send(std::move(requestHead), this->request.caller.body);
   this->sendFailed = !sent.ok();
@@ -446,6 +459,7 @@
 AttemptCall::ReadAll()
 {
   auto body = co_await this->call->ReadAll(kMaxBufferedBodyBytes);
+  this->request.readUntil = this->context.clock.Now();
   if (body.ok()) {
     if (const absl::Status ended = co_await this->CheckBodyEnd(); !ended.ok()) {
       body = ended;
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -39,6 +39,7 @@
   Task<bool> EndStream() override;
   void Abort() override;
   bool HasStarted() const override { return this->answerStarted; }
+  bool StreamsInChunks() const override { return this->chunked; }
 
 private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -377,6 +377,7 @@
 Task<Completion::StreamOutcome>
 Completion::RelayStream(AttemptCall& aCall, const Attempt& aAttempt)
 {
+  this->request.relay = kRelayedByEvent;
   bool hasBegun = false;
   while (true) {
     std::string bytes;
@@ -441,6 +442,7 @@
 Task<bool>
 Completion::ForwardWhole(AttemptCall& aCall, Attempt& aAttempt)
 {
+  this->request.relay = kRelayedWhole;
   std::string body = co_await aCall.ReadRemainingBody(aAttempt);
   const bool complete = aAttempt.state == AttemptState::kAnswered;
   if (const auto targetResult = ToAttemptResult(aAttempt)) {
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -53,6 +53,10 @@
 
   /// @brief Returns whether writing of the answer has started.
   virtual bool HasStarted() const = 0;
+
+  /// @brief Returns whether a streamed answer is sent in chunks; otherwise the end of the
+  ///        connection ends it.
+  virtual bool StreamsInChunks() const = 0;
 };
 
 /// @brief State shared by all requests of an instance. Used on the traffic thread only.
@@ -135,6 +139,10 @@
   return load;
 }
 
+/// Names for the log of the ways in which a response is forwarded.
+constexpr std::string_view kRelayedByEvent = "events";
+constexpr std::string_view kRelayedWhole = "whole";
+
 /// @brief State of one request in flight.
 struct PathRequest
 {
@@ -165,6 +173,13 @@
   double engineQueuedTokens = 0.0;
   /// @brief How the end of the last response's body is marked; empty before a response.
   std::string_view framing = {};
+  /// @brief How the last response is forwarded: `events` as they arrive, or `whole`; empty before.
+  std::string_view relay = {};
+  /// @brief Time limit that the last attempt's target was given.
+  milliseconds timeGiven{ 0 };
+  /// @brief When the last attempt was sent, and when reading its response ended, if it has.
+  core::MonotonicTime sentAt = {};
+  std::optional<core::MonotonicTime> readUntil = {};
   /// @brief Time from the request's arrival to the first chunk of its answer.
   milliseconds timeToFirstChunk{ 0 };
   /// @brief Number of forwarded chunks of a stream, and the time of the last one.
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -85,6 +85,35 @@
 
 } // namespace
 
+namespace {
+
+std::string_view
+KindName(RequestKind aKind)
+{
+  switch (aKind) {
+    case RequestKind::kIdempotent:
+      return "idempotent";
+    case RequestKind::kAtMostOnce:
+      return "at_most_once";
+    case RequestKind::kStream:
+      break;
+  }
+  return "stream";
+}
+
+// Names how the end of the caller's answer is marked.
+std::string_view
+AnswerFramingName(const AnswerWriter& aWriter)
+{
+  if (!aWriter.HasStarted()) {
+    return FramingName(BodyFraming::kLength);
+  }
+  return FramingName(aWriter.StreamsInChunks() ? BodyFraming::kChunked
+                                               : BodyFraming::kConnectionEnd);
+}
+
+} // namespace
+
 void
 LogRequestEnd(const PathContext& aContext,
               const PathRequest& aRequest,
@@ -97,11 +126,16 @@
     aRequest.chunks == 0
       ? milliseconds(0)
       : std::chrono::duration_cast<milliseconds>(aRequest.lastChunkAt - aRequest.caller.arrival);
+  const auto timeUsed =
+    aRequest.readUntil.has_value()
+      ? std::chrono::duration_cast<milliseconds>(*aRequest.readUntil - aRequest.sentAt)
+      : milliseconds(0);
   core::Log(
     core::LogLevel::kInfo,
     "request ended",
     { { "request", aRequest.info.id.Text() },
       { "route", aRequest.route.name },
+      { "kind", std::string(KindName(aRequest.route.kind)) },
       { "status", std::to_string(aStatus) },
       { "reason", aReason },
       { "attempts", std::to_string(aRequest.attempts) },
@@ -120,6 +154,10 @@
       { "prompt_tokens",
         std::to_string(aRequest.info.prompt.has_value() ? aRequest.info.prompt->promptTokens : 0) },
       { "framing", std::string(aRequest.framing) },
+      { "relay", std::string(aRequest.relay) },
+      { "answer_framing", std::string(AnswerFramingName(aRequest.writer)) },
+      { "given_ms", std::to_string(aRequest.timeGiven.count()) },
+      { "used_ms", std::to_string(timeUsed.count()) },
       { "pieces", std::to_string(aRequest.chunks) },
       { "last_piece_ms", std::to_string(lastChunk.count()) },
       { "config",
@@ -227,6 +265,7 @@
     Attempt attempt = co_await call.SendAndReadHead(plan, limit);
     std::string body;
     if (attempt.state == AttemptState::kAnswered) {
+      aRequest.relay = kRelayedWhole;
       body = co_await call.ReadRemainingBody(attempt);
     }
     if (const auto targetResult = ToAttemptResult(attempt)) {
