--- a/tests/fakes/raw_target.cpp
+++ b/tests/fakes/raw_target.cpp
@@ -159,10 +159,13 @@
 }
 
 void
-RawTarget::End(int aConnection)
+RawTarget::End(int aConnection, std::chrono::steady_clock::time_point aDeadline)
 {
   // Until the bytes have been read, as a reset would discard them.
   std::this_thread::sleep_for(kReadDelay);
+  if (this->ending == RawEnding::kStopAtDeadline) {
+    std::this_thread::sleep_until(aDeadline - this->margin);
+  }
   this->ended = true;
   if (this->ending == RawEnding::kReset || this->ending == RawEnding::kResetUnread) {
     const linger reset{ 1, 0 };
@@ -205,10 +208,14 @@
   while (this->ended && this->ending == RawEnding::kStopAnswering && !this->stopping) {
     std::this_thread::sleep_for(kReadDelay);
   }
-  this->requests += IsReportRequest(request) ? 0 : 1;
+  const bool isReport = IsReportRequest(request);
+  this->requests += isReport ? 0 : 1;
+  const std::string timeLeft = FieldValue(request, "X-Deadline-Ms");
+  const auto deadline = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(timeLeft.empty() ? 0 : std::stol(timeLeft));
   bool open = this->Send(aConnection, this->Response(request));
   if (this->ending.has_value()) {
-    this->End(aConnection);
+    this->End(aConnection, deadline);
   } else {
     while (open && !this->stopping) {
       std::this_thread::sleep_for(this->pause);
--- a/tests/fakes/raw_target.hpp
+++ b/tests/fakes/raw_target.hpp
@@ -28,6 +28,8 @@
   kStopAnswering,
   /// @brief Responds before it has read the body of the request, and resets the connection.
   kResetUnread,
+  /// @brief Closes the connection with FIN when the time that the request allows is over.
+  kStopAtDeadline,
 };
 
 /// @brief Target that answers each request with given bytes, whether or not they are a response.
@@ -55,6 +57,9 @@
 
   net::Address Address() const { return this->address; }
 
+  /// @brief Sets how much earlier than allowed a target with kStopAtDeadline stops.
+  void SetMargin(std::chrono::milliseconds aMargin) { this->margin = aMargin; }
+
   /// @brief Returns how many connections received a request other than for a report, and how many
   /// of these the caller closed.
   int CountRequests() const { return this->requests; }
@@ -73,11 +78,12 @@
   /// @brief Sends bytes.
   /// @return false if the caller has closed the connection
   bool Send(int aConnection, std::string aBytes) const;
-  void End(int aConnection);
+  void End(int aConnection, std::chrono::steady_clock::time_point aDeadline);
 
   std::string beginning;
   std::string repeated;
   std::chrono::milliseconds pause;
+  std::chrono::milliseconds margin{ 0 };
   /// @brief Absent for responses that never end.
   std::optional<RawEnding> ending;
   int listener = -1;
--- a/tests/harness/raw_target_fleet.hpp
+++ b/tests/harness/raw_target_fleet.hpp
@@ -3,12 +3,17 @@
 #include <optional>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include "fakes/raw_target.hpp"
 #include "wire_fleet.hpp"
 
 namespace plantainslip::harness {
 
 /// @brief One instance in front of a target that sends given bytes as its response.
+///
+/// Besides the routes of WireFleet there are streams of a plain service: `/brief/`, `/memo/`
+/// (resumable), and `/share/`, of which engines serve one request in a thousand.
 class RawTargetFleet
 {
 public:
@@ -35,6 +40,13 @@
     if (aStage != "prefill") {
       this->fleet.AddTarget("i-p", "models", "prefill");
     }
+    this->fleet.AddRoute("brief", { { "kind", "stream" } });
+    this->fleet.AddRoute("memo", { { "kind", "stream" }, { "allowResume", true } });
+    this->fleet.AddRoute("share",
+                         { { "kind", "stream" },
+                           { "trafficSplit",
+                             { { { "service", "models" }, { "weight", 1 } },
+                               { { "service", "desk" }, { "weight", 999 } } } } });
     this->fleet.Configure(3);
     this->fleet.StartGateway();
   }
@@ -53,7 +65,7 @@
   CallerAnswer Send(const std::string& aPath, const std::string& aBody = "the prompt")
   {
     const std::string id = "r" + std::to_string(++this->requests);
-    return this->fleet.Call("POST", aPath, id, WireFleet::CompletionHeaders(), aBody);
+    return this->fleet.Call("POST", aPath, id, this->headers, aBody);
   }
 
   bool HasMetric(const std::string& aLine) const
@@ -64,6 +76,8 @@
   fakes::RawTarget target;
   WireFleet fleet;
   int requests = 0;
+  /// @brief Header fields of the requests.
+  std::string headers = WireFleet::CompletionHeaders();
 };
 
 } // namespace plantainslip::harness
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -235,6 +235,9 @@
   if (!aAdded.empty()) {
     routes.push_back(MakeRoute(aAdded, "safe", "desk"));
   }
+  for (const auto& [name, route] : this->addedRoutes) {
+    routes.push_back(json::parse(route));
+  }
   const json config = {
     { "version", aVersion },
     { "routes", std::move(routes) },
@@ -252,6 +255,15 @@
   this->store->Put("op/config", config.dump());
 }
 
+void
+WireFleet::AddRoute(const std::string& aName, const json& aRoute)
+{
+  json route = MakeRoute(aName, "unsafe", "desk");
+  route["attempts"] = 2;
+  route.update(aRoute);
+  this->addedRoutes[aName] = route.dump();
+}
+
 ChildProcess&
 WireFleet::StartGateway(bool aAwaitReady)
 {
@@ -331,13 +343,22 @@
                   const std::string& aBody) const
 {
   const RawConnection connection(aCallers);
-  std::string request = aMethod + " " + aPath + " HTTP/1.1\r\nHost: h.example\r\n";
-  request += "X-Request-Id: " + aId + "\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n" + aHeaders;
+  std::string request =
+    aMethod + " " + aPath + " HTTP/" + this->callerVersion + "\r\nHost: h.example\r\n";
+  request += "X-Request-Id: " + aId +
+             "\r\nX-Deadline-Ms: " + std::to_string(this->callerDeadline.count()) +
+             "\r\nConnection: close\r\n" + aHeaders;
   if (!aBody.empty()) {
     request += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
   }
   connection.Send(request + "\r\n" + aBody);
-  return ParseAnswer(connection.ReadToEnd());
+  CallerAnswer answer = ParseAnswer(connection.ReadToEnd());
+  const bool endsWithConnection = answer.head.find("Content-Length: ") == std::string::npos &&
+                                  answer.head.find("Transfer-Encoding: ") == std::string::npos;
+  if (this->callerVersion == "1.0" && answer.status != 0 && endsWithConnection) {
+    answer.complete = !connection.WasReset();
+  }
+  return answer;
 }
 
 void
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "child_process.hpp"
 #include "fakes/wire_store.hpp"
 #include "fakes/wire_target.hpp"
@@ -19,7 +22,8 @@
   std::string head;
   /// @brief Body without chunked framing.
   std::string body;
-  /// @brief Whether the body is complete by its stated length or its last chunk.
+  /// @brief Whether the body is complete by its stated length or its last chunk; for a caller with
+  ///        HTTP/1.0 also by the connection's end without a reset.
   bool complete = false;
 };
 
@@ -69,6 +73,10 @@
                  const std::string& aAdded = "",
                  std::uint64_t aMaxBodyBytes = 65'536);
 
+  /// @brief Adds a route with two targets to all later configurations, or changes an added one.
+  /// @param aRoute  fields that differ from those of `/pay/`, in the platform's names
+  void AddRoute(const std::string& aName, const nlohmann::json& aRoute);
+
   /// @brief Starts an instance of the gateway.
   /// @param aAwaitReady  whether to wait until it is ready
   ChildProcess& StartGateway(bool aAwaitReady = true);
@@ -105,6 +113,12 @@
   /// @brief Returns the header fields of a completion with a prompt of two parts.
   static std::string CompletionHeaders();
 
+  /// @brief Sets the time that callers allow their requests.
+  void SetCallerDeadline(std::chrono::milliseconds aDeadline) { this->callerDeadline = aDeadline; }
+
+  /// @brief Sets the HTTP version of callers, `1.1` or `1.0`.
+  void SetCallerVersion(const std::string& aVersion) { this->callerVersion = aVersion; }
+
   /// @brief Repeats GET requests for a path until the last started instance responds with a status.
   void AwaitServed(const std::string& aPath, int aStatus) const;
 
@@ -119,6 +133,10 @@
   net::Address readiness;
   net::Address metrics;
   std::string settingsPath;
+  std::chrono::milliseconds callerDeadline{ 5'000 };
+  std::string callerVersion = "1.1";
+  /// @brief Added routes by name, as JSON.
+  std::map<std::string, std::string> addedRoutes;
   std::jthread thread;
 };
 
