Judge in one place whether a response is whole, and relay streams by event on every path

Callers saw streams that had been cut as complete answers. Cause: the path was chosen by the service and the prompt's fields, not by the route's kind, and only the engines' path knew events. On a stream route with a plain service (in whole or by a share), or for a request without readable prompt fields, the response was read whole and sent on with a length, whatever it ended in. On the engines' path the same held for a success of another media type.

net::JudgeEnd() now decides for all of them from all that is known: status, framing, events, sending and the target's confirmation. AttemptCall::CheckEnd() gathers that and is asked by the relay of events and by the reader of whole bodies, so nothing completes an answer without it; the own interface's client asks the same function. ResponseRelay, taken out of the engines' path, serves plain services too: events are passed on as they arrive, and a stream that may be resumed is. Lines of an event may end in LF or CRLF, mixed too.

In unit-serving-state.cpp HasPartial() and DropPartial() became Read().insideEvent and BeginResponse(); the checks are the same and some more.

--- a/include/plantainslip/serving/event_stream.hpp
+++ b/include/plantainslip/serving/event_stream.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include <plantainslip/net/response_end.hpp>
 #include <plantainslip/serving/target_protocol.hpp>
 
 namespace plantainslip::serving {
@@ -24,6 +26,11 @@
                  const HeaderList& aHeaders,
                  bool aEndsWithConnection);
 
+/// @brief Returns what a whole body looks like if it is read as a series of events, whatever its
+///        media type. A body without an event's field is none, and does not end inside one.
+net::EventsRead
+ReadEvents(std::string_view aBody);
+
 /// @brief Splits an event stream (`text/event-stream`) at event boundaries.
 ///
 /// Guards against targets that fail in the middle of an event: only complete events are forwarded,
@@ -35,26 +42,44 @@
   /// @brief Max size of one event. Bytes without an event boundary beyond it are no event stream.
   static constexpr std::size_t kMaxEventBytes = 262'144;
 
+  /// @brief Prepares for the first or the next response. Discards the beginning of an event that
+  ///        the last one did not complete.
+  void BeginResponse();
+
   /// @brief Appends received bytes and extracts the events that are complete.
   /// @return the text of these events; empty if there are none. Linear in the received bytes and
   ///         the extracted ones.
   std::string ExtractComplete(std::string_view aBytes);
 
-  /// @brief Returns the last event id among the extracted events; empty before the first.
+  /// @brief Returns the last event id among the extracted events of all responses; empty before the
+  ///        first.
   const std::string& LastEventId() const { return this->lastEventId; }
 
-  /// @brief Discards the buffered beginning of an event that will not be completed.
-  void DropPartial() { this->partial.clear(); }
+  /// @brief Returns what was read of the current response.
+  net::EventsRead Read() const { return { this->hasEvent, !this->partial.empty() }; }
 
   /// @brief Returns whether the buffered event is longer than #kMaxEventBytes.
   bool IsOversized() const { return this->partial.size() > kMaxEventBytes; }
 
-  /// @brief Returns whether an incomplete event is buffered.
-  bool HasPartial() const { return !this->partial.empty(); }
-
 private:
+  /// @brief Fields of the event that is being read.
+  struct Fields
+  {
+    std::optional<std::string> id;
+    bool hasData = false;
+  };
+
+  void ReadLine(std::string_view aLine);
+  void EndEvent();
+
+  /// @brief Bytes after the last extracted event.
   std::string partial;
+  /// @brief Start of the first line of #partial without an end, and of what was not searched yet.
+  std::size_t lineStart = 0;
+  std::size_t searchedUntil = 0;
+  Fields fields;
   std::string lastEventId;
+  bool hasEvent = false;
 };
 
 } // namespace plantainslip::serving
--- a/src/net/http_stream.cpp
+++ b/src/net/http_stream.cpp
@@ -10,6 +10,7 @@
 
 #include <plantainslip/net/errors.hpp>
 #include <plantainslip/net/http_client.hpp>
+#include <plantainslip/net/response_end.hpp>
 
 namespace plantainslip::net {
 
@@ -113,9 +114,18 @@
         return std::string(chunk.data(), bytesRead);
       }
     }
-    // Without a stated length, the end of the server's process looks like the end of its answer.
-    if (this->parser.need_eof() && this->IsConnectionRefused(aTimeout)) {
-      return core::MakeError(errors::kNoAnswer, "the server ended with its answer");
+    ResponseEnd end;
+    end.status = this->StatusCode();
+    end.framing = this->parser.need_eof() ? BodyFraming::kConnectionEnd : BodyFraming::kLength;
+    EndJudgement judgement = JudgeEnd(end);
+    if (judgement == EndJudgement::kAskSender) {
+      // Servers of the own interface have no report that identifies their process.
+      end.sender =
+        this->IsConnectionRefused(aTimeout) ? SenderState::kUnconfirmed : SenderState::kRunning;
+      judgement = JudgeEnd(end);
+    }
+    if (judgement != EndJudgement::kWhole) {
+      return core::MakeError(errors::kNoAnswer, std::string(Describe(judgement)));
     }
     return std::optional<std::string>();
   }
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -2,6 +2,7 @@
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
+#include <plantainslip/serving/event_stream.hpp>
 
 #include "http_head.hpp"
 #include "simple_call.hpp"
@@ -252,8 +253,11 @@
 void
 AttemptCall::RecordAnswer()
 {
+  if (this->hasAnswer) {
+    return;
+  }
   this->hasAnswer = true;
-  if (this->step != AttemptStep::kPrefill && IsSuccess(this->status)) {
+  if (this->step != AttemptStep::kPrefill && IsSuccess(this->end.status)) {
     this->context.quarantine.RecordAnswer(this->request.traits, this->context.clock.Now());
     LogQuarantineChanges(this->context);
   }
@@ -293,42 +297,48 @@
   co_return running;
 }
 
+void
+AttemptCall::RecordReadTime()
+{
+  this->request.readUntil = this->context.clock.Now();
+}
+
 Task<absl::Status>
-AttemptCall::CheckBodyEnd()
+AttemptCall::CheckEnd(net::EventsRead aEvents)
 {
-  // The system closes the connections of a process that crashes in the same way as the process
-  // itself does at the end of a response.
-  if (this->framing != BodyFraming::kConnectionEnd) {
-    co_return absl::OkStatus();
+  this->end.events = aEvents;
+  if (this->end.framing == net::BodyFraming::kConnectionEnd) {
+    this->context.metrics.Count("unframed_ends_total", this->request.route.name);
   }
-  std::string reason;
-  if (this->sendFailed) {
-    reason = "the connection was lost while the request was sent";
-  } else if (!co_await this->IsTargetRunning()) {
-    reason = "the target did not confirm that it is still running";
+  net::EndJudgement judgement = net::JudgeEnd(this->end);
+  if (judgement == net::EndJudgement::kAskSender) {
+    const bool running = co_await this->IsTargetRunning();
+    this->end.sender = running ? net::SenderState::kRunning : net::SenderState::kUnconfirmed;
+    judgement = net::JudgeEnd(this->end);
   }
-  if (reason.empty()) {
+  this->request.responseEnd = net::Describe(judgement);
+  if (judgement == net::EndJudgement::kWhole) {
     co_return absl::OkStatus();
   }
-  this->context.metrics.Count("unframed_responses_cut_total", this->request.route.name);
+  this->context.metrics.Count("responses_cut_total", this->request.route.name);
   core::Log(core::LogLevel::kInfo,
-            "response without a length counts as cut",
+            "response counts as cut",
             { { "request", this->request.info.id.Text() },
               { "target", this->target.id.Text() },
-              { "reason", reason } });
-  co_return core::MakeError(errors::kConnectionLost, reason);
+              { "status", std::to_string(this->end.status) },
+              { "framing", std::string(net::FramingName(this->end.framing)) },
+              { "reason", std::string(net::Describe(judgement)) } });
+  const absl::Status cut =
+    core::MakeError(errors::kConnectionLost, std::string(net::Describe(judgement)));
+  this->CheckTargetAfter(cut);
+  co_return cut;
 }
 
 Task<absl::StatusOr<bool>>
 AttemptCall::ReadSome(std::string& aBody)
 {
   absl::StatusOr<bool> more = co_await this->call->ReadSome(aBody);
-  this->request.readUntil = this->context.clock.Now();
-  if (more.ok() && !*more) {
-    if (const absl::Status ended = co_await this->CheckBodyEnd(); !ended.ok()) {
-      more = ended;
-    }
-  }
+  this->RecordReadTime();
   this->CheckTargetAfter(more.status());
   co_return more;
 }
@@ -403,7 +413,7 @@
   this->request.timeGiven = aPlan.timeLeft;
   const absl::Status sent =
     co_await this->call->Send(std::move(requestHead), this->request.caller.body);
-  this->sendFailed = !sent.ok();
+  this->end.requestSent = sent.ok();
   // A target may respond before it has read the whole request and then close the connection, so the
   // response is read even if sending failed.
   auto head = co_await this->call->ReadHead(this->request.caller.method == "HEAD");
@@ -421,19 +431,21 @@
   }
   attempt.head = std::move(*head);
   attempt.state = AttemptState::kAnswered;
-  this->status = attempt.head.status;
-  this->framing = attempt.head.framing;
-  this->request.framing = FramingName(this->framing);
-  const bool success = IsSuccess(this->status);
+  this->end.status = attempt.head.status;
+  this->end.framing = attempt.head.framing;
+  const bool isStream = this->request.route.kind == RequestKind::kStream;
+  this->end.expectsEvents = runsRequest && (isStream || IsEventStream(attempt.head.headers));
+  this->request.framing = net::FramingName(this->end.framing);
+  const bool success = IsSuccess(this->end.status);
   if (attempt.info.notRun) {
     attempt.state = AttemptState::kNotRun;
     this->request.mayHaveRun = ranBefore;
   } else if ((success && !attempt.info.hasSignature && runsRequest) ||
-             IsNotRunStatus(this->status)) {
+             IsNotRunStatus(this->end.status)) {
     attempt.state = AttemptState::kUnknown;
   }
   if (attempt.state != AttemptState::kAnswered) {
-    attempt.detail = "status " + std::to_string(this->status);
+    attempt.detail = "status " + std::to_string(this->end.status);
     const auto rest = co_await this->ReadAll();
     if (rest.ok() && attempt.state == AttemptState::kNotRun) {
       this->ReturnConnection();
@@ -459,16 +471,16 @@
 AttemptCall::ReadAll()
 {
   auto body = co_await this->call->ReadAll(kMaxBufferedBodyBytes);
-  this->request.readUntil = this->context.clock.Now();
-  if (body.ok()) {
-    if (const absl::Status ended = co_await this->CheckBodyEnd(); !ended.ok()) {
-      body = ended;
-    }
+  this->RecordReadTime();
+  if (!body.ok()) {
+    this->CheckTargetAfter(body.status());
+    co_return body;
   }
-  if (body.ok()) {
-    this->RecordAnswer();
+  const net::EventsRead events = this->end.expectsEvents ? ReadEvents(*body) : net::EventsRead();
+  if (const absl::Status ended = co_await this->CheckEnd(events); !ended.ok()) {
+    co_return ended;
   }
-  this->CheckTargetAfter(body.status());
+  this->RecordAnswer();
   co_return body;
 }
 
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -58,8 +58,17 @@
   Task<std::string> ReadRemainingBody(Attempt& aAttempt);
 
   /// @brief Reads the next part of the body; only after kAnswered. See TargetCall::ReadSome().
+  ///
+  /// After the last part, CheckEnd() tells whether the response is whole.
   Task<absl::StatusOr<bool>> ReadSome(std::string& aBody);
 
+  /// @brief Checks, after the last part of the body was read, whether the response is whole. May
+  /// ask
+  ///        the target whether it is still running.
+  /// @param aEvents  what the body looks like as a series of events
+  /// @return OK, or error 1502 (serving.connection_lost) with the reason
+  Task<absl::Status> CheckEnd(net::EventsRead aEvents);
+
   /// @brief Records that the target has run the request, at the first event of a stream or the end
   ///        of another answer: the request does not end it. Called by ReadRemainingBody().
   void RecordAnswer();
@@ -77,10 +86,7 @@
   ///        and takes this request, which then counts for its rate limit.
   bool ClaimRequest();
   Task<absl::StatusOr<std::string>> ReadAll();
-  /// @brief Checks, at the end of a body that nothing but the end of the connection marks, that the
-  ///        target's process has not ended with it.
-  /// @return OK, or error 1502 (serving.connection_lost)
-  Task<absl::Status> CheckBodyEnd();
+  void RecordReadTime();
   /// @brief Asks the target for its report.
   /// @return whether its process is running; false if it does not answer
   Task<bool> IsTargetRunning();
@@ -96,11 +102,8 @@
   std::unique_ptr<TimeLimit> limit;
   std::unique_ptr<TargetCall> call;
   AttemptStep step = AttemptStep::kWhole;
-  int status = 0;
-  BodyFraming framing = BodyFraming::kLength;
-  /// @brief Whether sending the request failed. The kernel reports a reset once, so the response
-  ///        may then seem to end well although it was cut.
-  bool sendFailed = false;
+  /// @brief What is known of the response's end so far.
+  net::ResponseEnd end;
   /// @brief Whether RecordAnswer() was called.
   bool hasAnswer = false;
 };
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -3,11 +3,11 @@
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/admission_rule.hpp>
 #include <plantainslip/serving/dispatch_rule.hpp>
-#include <plantainslip/serving/event_stream.hpp>
 
 #include "attempt.hpp"
 #include "http_head.hpp"
 #include "request_path.hpp"
+#include "response_relay.hpp"
 #include "simple_call.hpp"
 #include "spawn.hpp"
 
@@ -47,6 +47,7 @@
     : context(aContext)
     , request(aRequest)
     , prompt(*aRequest.info.prompt)
+    , relay(aContext, aRequest, [this] { this->CountLateness(); })
   {
   }
 
@@ -59,12 +60,6 @@
     kNoEngine,
     kRequestEnded,
   };
-  enum class StreamOutcome
-  {
-    kComplete,
-    kBroken,
-    kCallerGone,
-  };
 
   milliseconds Elapsed() const;
   std::optional<PrefillPlacement> ChoosePrefillEngine() const;
@@ -75,12 +70,7 @@
   Task<void> Decode();
   Task<Attempt> SendDecode(AttemptCall& aCall, const Target& aEngine);
   std::optional<Target> NextDecodeEngine(const Target& aEngine, const Attempt& aAttempt);
-  bool RelaysEvents(const Attempt& aAttempt) const;
-  Task<bool> ForwardWhole(AttemptCall& aCall, Attempt& aAttempt);
-  Task<void> CompleteAnswer(const Attempt& aAttempt, std::string aBody);
-  Task<StreamOutcome> RelayStream(AttemptCall& aCall, const Attempt& aAttempt);
-  void LogUnframedEnd(const Attempt& aAttempt) const;
-  Task<bool> Forward(const Attempt& aAttempt, std::string aBytes);
+  Task<bool> ForwardResponse(AttemptCall& aCall, Attempt& aAttempt);
   bool TakeRetryIfAttemptsRemain();
   bool TakeRetryIfResumable();
   void ReleaseHandle();
@@ -97,7 +87,7 @@
   PathRequest& request;
   const PromptInfo& prompt;
   std::optional<CachedPrompt> cachedPrompt;
-  EventStream events;
+  ResponseRelay relay;
   TriedTargets triedDecodeEngines;
   bool demandCounted = false;
   /// @brief Time from the request's arrival until its prompt was prefilled.
@@ -315,7 +305,7 @@
 {
   AttemptPlan plan;
   plan.priority = static_cast<std::size_t>(std::max(0, this->request.route.rank));
-  plan.lastEventId = this->events.LastEventId();
+  plan.lastEventId = this->relay.LastEventId();
   if (this->cachedPrompt.has_value()) {
     plan.step = AttemptStep::kDecode;
     plan.handleAddress = this->cachedPrompt->engine.address;
@@ -335,122 +325,35 @@
 bool
 Completion::TakeRetryIfResumable()
 {
-  // Without the id of the last event, another engine would repeat what was forwarded.
-  const bool isContinuable =
-    !this->request.writer.HasStarted() || !this->events.LastEventId().empty();
-  return this->request.route.resumable && isContinuable && this->TakeRetryIfAttemptsRemain();
+  return this->relay.IsContinuable() && this->TakeRetryIfAttemptsRemain();
 }
 
+// Forwards a response. Returns whether the request has ended; if not, aAttempt has the reason.
 Task<bool>
-Completion::Forward(const Attempt& aAttempt, std::string aBytes)
+Completion::ForwardResponse(AttemptCall& aCall, Attempt& aAttempt)
 {
-  AnswerWriter& writer = this->request.writer;
-  if (aBytes.empty()) {
-    co_return true;
-  }
-  if (!writer.HasStarted()) {
-    const auto timeToFirstChunk = this->context.clock.Now() - this->request.caller.arrival;
-    this->request.timeToFirstChunk = std::chrono::duration_cast<milliseconds>(timeToFirstChunk);
-    this->context.metrics.firstEvent.Record(timeToFirstChunk);
-    this->CountLateness();
-    HeaderList headers = ForwardedResponseHeaders(aAttempt.head.headers);
-    const bool begun = co_await writer.BeginStream(aAttempt.head.status, std::move(headers));
-    if (!begun) {
-      co_return false;
-    }
-  }
-  ++this->request.chunks;
-  this->request.lastChunkAt = this->context.clock.Now();
-  const bool written = co_await writer.WriteChunk(std::move(aBytes));
-  co_return written;
-}
-
-bool
-Completion::RelaysEvents(const Attempt& aAttempt) const
-{
-  return IsRelayedByEvent(this->request.route.kind,
-                          aAttempt.head.status,
-                          aAttempt.head.headers,
-                          aAttempt.head.framing == BodyFraming::kConnectionEnd);
-}
-
-Task<Completion::StreamOutcome>
-Completion::RelayStream(AttemptCall& aCall, const Attempt& aAttempt)
-{
-  this->request.relay = kRelayedByEvent;
-  bool hasBegun = false;
-  while (true) {
-    std::string bytes;
-    const absl::StatusOr<bool> more = co_await aCall.ReadSome(bytes);
-    bytes = this->events.ExtractComplete(bytes);
-    if (!hasBegun && !bytes.empty()) {
-      hasBegun = true;
-      aCall.RecordAnswer();
-    }
-    const bool forwarded = co_await this->Forward(aAttempt, std::move(bytes));
-    if (!forwarded) {
-      this->request.cancellation.Cancel(CancelReason::kCallerLeft);
-      co_return StreamOutcome::kCallerGone;
-    }
-    if (!more.ok() || this->events.IsOversized()) {
-      co_return StreamOutcome::kBroken;
-    }
-    if (!*more) {
-      this->LogUnframedEnd(aAttempt);
-      // Without an end mark, a stream that has not begun cannot have ended.
-      const bool neverBegan = !hasBegun && aAttempt.head.framing == BodyFraming::kConnectionEnd;
-      co_return this->events.HasPartial() || neverBegan ? StreamOutcome::kBroken
-                                                        : StreamOutcome::kComplete;
+  const core::MonotonicTime answeredAt = this->context.clock.Now();
+  std::string body;
+  bool complete = false;
+  if (this->relay.RelaysEvents(aAttempt)) {
+    const RelayOutcome outcome = co_await this->relay.RelayEvents(aCall, aAttempt);
+    complete = outcome == RelayOutcome::kWhole;
+    this->context.health.Record(this->request.sentTo.back(),
+                                outcome == RelayOutcome::kBroken ? AttemptResult::kFailed
+                                                                 : AttemptResult::kAnswered,
+                                answeredAt);
+  } else {
+    this->request.relay = kRelayedWhole;
+    body = co_await aCall.ReadRemainingBody(aAttempt);
+    complete = aAttempt.state == AttemptState::kAnswered;
+    if (const auto targetResult = ToAttemptResult(aAttempt)) {
+      this->context.health.Record(
+        this->request.sentTo.back(), *targetResult, this->context.clock.Now());
     }
   }
-}
-
-void
-Completion::LogUnframedEnd(const Attempt& aAttempt) const
-{
-  if (aAttempt.head.framing != BodyFraming::kConnectionEnd) {
-    return;
-  }
-  this->context.metrics.Count("unframed_ends_total", this->request.route.name);
-  core::Log(core::LogLevel::kInfo,
-            "stream ended with its connection",
-            { { "request", this->request.info.id.Text() },
-              { "target", this->request.sentTo.back().Text() },
-              { "status", std::to_string(aAttempt.head.status) },
-              { "pieces", std::to_string(this->request.chunks) },
-              { "inside_event", this->events.HasPartial() ? "yes" : "no" } });
-}
-
-// Completes the caller's answer. The body is empty if its parts were forwarded as they came.
-Task<void>
-Completion::CompleteAnswer(const Attempt& aAttempt, std::string aBody)
-{
-  LogRequestEnd(this->context, this->request, aAttempt.head.status, "answered");
-  this->context.metrics.wholeAnswer.Record(this->context.clock.Now() -
-                                           this->request.caller.arrival);
-  if (this->request.writer.HasStarted()) {
-    co_await this->request.writer.EndStream();
-    co_return;
-  }
-  HeaderList headers = ForwardedResponseHeaders(aAttempt.head.headers);
-  co_await this->request.writer.WriteWhole(
-    aAttempt.head.status, std::move(headers), std::move(aBody));
-}
-
-// Forwards a response that is no event stream, once it is complete. Returns whether it was; if not,
-// nothing of it has reached the caller, and aAttempt has the reason.
-Task<bool>
-Completion::ForwardWhole(AttemptCall& aCall, Attempt& aAttempt)
-{
-  this->request.relay = kRelayedWhole;
-  std::string body = co_await aCall.ReadRemainingBody(aAttempt);
-  const bool complete = aAttempt.state == AttemptState::kAnswered;
-  if (const auto targetResult = ToAttemptResult(aAttempt)) {
-    this->context.health.Record(
-      this->request.sentTo.back(), *targetResult, this->context.clock.Now());
-  }
   if (complete) {
-    co_await this->CompleteAnswer(aAttempt, std::move(body));
+    this->context.metrics.wholeAnswer.Record(this->Elapsed());
+    co_await this->relay.Complete(aAttempt, std::move(body));
   }
   co_return complete;
 }
@@ -491,11 +394,7 @@
   const AttemptPlan plan = this->DecodePlan();
   Attempt attempt =
     co_await aCall.SendAndReadHead(plan, TimeLeft(this->context, this->request) + milliseconds(1));
-  const bool isResuming = this->request.writer.HasStarted();
-  if (isResuming && attempt.state == AttemptState::kAnswered && !this->RelaysEvents(attempt)) {
-    attempt.state = AttemptState::kUnknown;
-    attempt.detail = "no event stream, status " + std::to_string(attempt.head.status);
-  }
+  this->relay.RejectUnlessContinuing(attempt);
   const auto targetResult = ToAttemptResult(attempt);
   if (targetResult.has_value() && attempt.state != AttemptState::kAnswered) {
     this->context.health.Record(aEngine.id, *targetResult, this->context.clock.Now());
@@ -533,31 +432,12 @@
       load.RemoveAllButRequest();
       sourceLoad.reset();
       this->cachedPrompt.reset();
-    }
-    if (attempt.state == AttemptState::kAnswered && !this->RelaysEvents(attempt)) {
-      const bool forwarded = co_await this->ForwardWhole(call, attempt);
+      const bool forwarded = co_await this->ForwardResponse(call, attempt);
       if (forwarded) {
         co_return;
       }
     }
     reason = "decode: " + attempt.detail;
-    if (attempt.state == AttemptState::kAnswered) {
-      call.ClearTimeLimit();
-      const core::MonotonicTime now = this->context.clock.Now();
-      const StreamOutcome outcome = co_await this->RelayStream(call, attempt);
-      this->context.health.Record(engine->id,
-                                  outcome == StreamOutcome::kBroken ? AttemptResult::kFailed
-                                                                    : AttemptResult::kAnswered,
-                                  now);
-      if (outcome == StreamOutcome::kComplete) {
-        call.ReturnConnection();
-        std::string empty;
-        co_await this->CompleteAnswer(attempt, std::move(empty));
-        co_return;
-      }
-      reason = "stream broke";
-      this->events.DropPartial();
-    }
     engine = this->NextDecodeEngine(*engine, attempt);
   }
   this->ReleaseHandle();
--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -1,12 +1,20 @@
 #include <plantainslip/serving/event_stream.hpp>
 
 #include <algorithm>
-
-#include <absl/strings/str_split.h>
-#include <absl/strings/strip.h>
+#include <utility>
 
 namespace plantainslip::serving {
 
+namespace {
+
+std::string_view
+StripReturn(std::string_view aLine)
+{
+  return aLine.ends_with('\r') ? aLine.substr(0, aLine.size() - 1) : aLine;
+}
+
+} // namespace
+
 bool
 IsEventStream(const HeaderList& aHeaders)
 {
@@ -29,29 +37,85 @@
   return aKind == RequestKind::kStream && isUnmarked;
 }
 
+net::EventsRead
+ReadEvents(std::string_view aBody)
+{
+  net::EventsRead read;
+  bool isEvents = false;
+  bool atBoundary = false;
+  while (!aBody.empty()) {
+    const std::size_t lineEnd = aBody.find('\n');
+    const std::string_view line = StripReturn(aBody.substr(0, lineEnd));
+    atBoundary = line.empty() && lineEnd != std::string_view::npos;
+    isEvents = isEvents || line.starts_with("id:") || line.starts_with("data:");
+    read.hasEvent = read.hasEvent || (isEvents && atBoundary);
+    aBody.remove_prefix(std::min(aBody.size(), lineEnd) + (lineEnd < aBody.size() ? 1 : 0));
+  }
+  read.insideEvent = isEvents && !atBoundary;
+  return read;
+}
+
+void
+EventStream::BeginResponse()
+{
+  this->partial.clear();
+  this->lineStart = 0;
+  this->searchedUntil = 0;
+  this->fields = {};
+  this->hasEvent = false;
+}
+
 std::string
 EventStream::ExtractComplete(std::string_view aBytes)
 {
-  constexpr std::size_t kLongestSeparator = 4;
-  // A boundary may have started in the bytes received before; older ones contain none.
-  const std::size_t known = this->partial.size();
-  const std::size_t searchFrom = known - std::min(known, kLongestSeparator - 1);
   this->partial.append(aBytes);
-  const std::string_view searched = std::string_view(this->partial).substr(searchFrom);
-  const auto endOfLast = [&](std::string_view aSeparator) {
-    const std::size_t found = searched.rfind(aSeparator);
-    return found == std::string_view::npos ? 0 : searchFrom + found + aSeparator.size();
-  };
-  const std::size_t boundary = std::max(endOfLast("\n\n"), endOfLast("\r\n\r\n"));
-  std::string completeEvents = this->partial.substr(0, boundary);
-  this->partial.erase(0, boundary);
-  for (absl::string_view line : absl::StrSplit(completeEvents, '\n')) {
-    line = absl::StripSuffix(line, "\r");
-    if (absl::ConsumePrefix(&line, "id:")) {
-      this->lastEventId = std::string(absl::StripPrefix(line, " "));
+  std::size_t boundary = 0;
+  while (true) {
+    const std::size_t lineEnd = this->partial.find('\n', this->searchedUntil);
+    if (lineEnd == std::string::npos) {
+      this->searchedUntil = this->partial.size();
+      break;
+    }
+    const std::string_view line = StripReturn(
+      std::string_view(this->partial).substr(this->lineStart, lineEnd - this->lineStart));
+    this->lineStart = lineEnd + 1;
+    this->searchedUntil = this->lineStart;
+    if (!line.empty()) {
+      this->ReadLine(line);
+    } else {
+      this->EndEvent();
+      boundary = this->lineStart;
     }
   }
+  std::string completeEvents = this->partial.substr(0, boundary);
+  this->partial.erase(0, boundary);
+  this->lineStart -= boundary;
+  this->searchedUntil -= boundary;
   return completeEvents;
 }
 
+void
+EventStream::ReadLine(std::string_view aLine)
+{
+  const std::size_t nameEnd = aLine.find(':');
+  const std::string_view name = aLine.substr(0, nameEnd);
+  if (name == "id") {
+    const std::size_t valueStart = std::min(aLine.size(), name.size() + 1);
+    const std::string_view value = aLine.substr(valueStart);
+    this->fields.id = std::string(value.starts_with(' ') ? value.substr(1) : value);
+  } else if (name == "data") {
+    this->fields.hasData = true;
+  }
+}
+
+void
+EventStream::EndEvent()
+{
+  const Fields ended = std::exchange(this->fields, {});
+  if (ended.id.has_value()) {
+    this->lastEventId = *ended.id;
+  }
+  this->hasEvent = this->hasEvent || ended.id.has_value() || ended.hasData;
+}
+
 } // namespace plantainslip::serving
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -175,6 +175,8 @@
   std::string_view framing = {};
   /// @brief How the last response is forwarded: `events` as they arrive, or `whole`; empty before.
   std::string_view relay = {};
+  /// @brief Whether the last response that was read to its end is whole, and if not, why.
+  std::string_view responseEnd = {};
   /// @brief Time limit that the last attempt's target was given.
   milliseconds timeGiven{ 0 };
   /// @brief When the last attempt was sent, and when reading its response ended, if it has.
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -9,7 +9,7 @@
 
 #include <plantainslip/serving/admission_rule.hpp>
 
-#include "attempt.hpp"
+#include "response_relay.hpp"
 
 namespace plantainslip::serving {
 
@@ -75,14 +75,6 @@
   });
 }
 
-Task<void>
-ForwardResponse(PathContext& aContext, PathRequest& aRequest, Attempt& aAttempt, std::string aBody)
-{
-  LogRequestEnd(aContext, aRequest, aAttempt.head.status, "answered");
-  HeaderList headers = ForwardedResponseHeaders(aAttempt.head.headers);
-  co_await aRequest.writer.WriteWhole(aAttempt.head.status, std::move(headers), std::move(aBody));
-}
-
 } // namespace
 
 namespace {
@@ -106,10 +98,10 @@
 AnswerFramingName(const AnswerWriter& aWriter)
 {
   if (!aWriter.HasStarted()) {
-    return FramingName(BodyFraming::kLength);
+    return net::FramingName(BodyFraming::kLength);
   }
-  return FramingName(aWriter.StreamsInChunks() ? BodyFraming::kChunked
-                                               : BodyFraming::kConnectionEnd);
+  return net::FramingName(aWriter.StreamsInChunks() ? BodyFraming::kChunked
+                                                    : BodyFraming::kConnectionEnd);
 }
 
 } // namespace
@@ -154,6 +146,7 @@
       { "prompt_tokens",
         std::to_string(aRequest.info.prompt.has_value() ? aRequest.info.prompt->promptTokens : 0) },
       { "framing", std::string(aRequest.framing) },
+      { "response_end", std::string(aRequest.responseEnd) },
       { "relay", std::string(aRequest.relay) },
       { "answer_framing", std::string(AnswerFramingName(aRequest.writer)) },
       { "given_ms", std::to_string(aRequest.timeGiven.count()) },
@@ -241,6 +234,8 @@
 ServePlain(PathContext& aContext, PathRequest& aRequest)
 {
   const bool idempotent = aRequest.route.kind == RequestKind::kIdempotent;
+  const bool isStream = aRequest.route.kind == RequestKind::kStream;
+  ResponseRelay relay(aContext, aRequest);
   while (true) {
     const bool ended = co_await EndIfQuarantined(aContext, aRequest);
     if (ended) {
@@ -256,6 +251,7 @@
     const LoadScope load(aContext.loads, target->id, { 1.0, {} });
     AttemptCall call(aContext, aRequest, *target);
     AttemptPlan plan;
+    plan.lastEventId = relay.LastEventId();
     const bool hasAlternative = HasAlternative(aContext, aRequest, *target);
     const auto remaining = TimeLeft(aContext, aRequest);
     const auto limit = idempotent && hasAlternative
@@ -263,8 +259,15 @@
                              static_cast<double>(remaining.count()) * kFirstAttemptShare))
                          : remaining + milliseconds(1);
     Attempt attempt = co_await call.SendAndReadHead(plan, limit);
+    relay.RejectUnlessContinuing(attempt);
     std::string body;
-    if (attempt.state == AttemptState::kAnswered) {
+    if (attempt.state == AttemptState::kAnswered && isStream && relay.RelaysEvents(attempt)) {
+      const RelayOutcome outcome = co_await relay.RelayEvents(call, attempt);
+      const bool cancelled = aRequest.cancellation.Reason().has_value();
+      if (outcome != RelayOutcome::kWhole) {
+        attempt.state = cancelled ? AttemptState::kCancelled : AttemptState::kUnknown;
+      }
+    } else if (attempt.state == AttemptState::kAnswered) {
       aRequest.relay = kRelayedWhole;
       body = co_await call.ReadRemainingBody(attempt);
     }
@@ -283,12 +286,13 @@
     constexpr int kServerError = 500;
     const bool failed = attempt.state != AttemptState::kAnswered ||
                         (idempotent && attempt.head.status == kServerError);
-    const bool mayRetry = failed && hasAlternative && (idempotent || !aRequest.mayHaveRun);
+    const bool isRepeatable = idempotent || !aRequest.mayHaveRun || relay.IsContinuable();
+    const bool mayRetry = failed && hasAlternative && isRepeatable;
     if (mayRetry && TryTakeRetry(aContext, aRequest)) {
       continue;
     }
     if (attempt.state == AttemptState::kAnswered) {
-      co_await ForwardResponse(aContext, aRequest, attempt, std::move(body));
+      co_await relay.Complete(attempt, std::move(body));
     } else {
       std::string reason = attempt.detail.empty() ? "broken_off" : attempt.detail;
       co_await FailRequest(aContext, aRequest, std::move(reason));
--- a/src/serving/target_call.cpp
+++ b/src/serving/target_call.cpp
@@ -40,20 +40,6 @@
 
 } // namespace
 
-std::string_view
-FramingName(BodyFraming aFraming)
-{
-  switch (aFraming) {
-    case BodyFraming::kChunked:
-      return "chunked";
-    case BodyFraming::kConnectionEnd:
-      return "connection_end";
-    case BodyFraming::kLength:
-      break;
-  }
-  return "length";
-}
-
 TargetCall::TargetCall(std::unique_ptr<OutgoingConnection> aConnection,
                        std::string aRequestId,
                        std::string_view aIdHeader,
--- a/src/serving/target_call.hpp
+++ b/src/serving/target_call.hpp
@@ -9,25 +9,14 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <plantainslip/net/response_end.hpp>
 #include <plantainslip/serving/target_protocol.hpp>
 
 #include "connection_pool.hpp"
 
 namespace plantainslip::serving {
 
-/// @brief How the end of a response's body is marked.
-enum class BodyFraming
-{
-  /// @brief By a stated length, or there is no body.
-  kLength,
-  kChunked,
-  /// @brief By nothing but the end of the connection.
-  kConnectionEnd,
-};
-
-/// @brief Returns the name of a framing for the log.
-std::string_view
-FramingName(BodyFraming aFraming);
+using net::BodyFraming;
 
 /// @brief Head of a response.
 struct ResponseHead
--- a/tests/src/process-answer-ends.cpp
+++ b/tests/src/process-answer-ends.cpp
@@ -316,23 +316,23 @@
 
 TEST_CASE("a stream of a plain service that breaks off is resumed at another target")
 {
-  const std::string broken = kStreamHead + "\r\n" + kEvents + kHalfEvent;
   const std::string rest = "id: 3\ndata: piece 3\n\n";
+  RawTarget broken(kStreamHead + "\r\n" + kEvents + kHalfEvent, RawEnding::kClose);
   RawTarget other(kStreamHead + "\r\n" + rest, RawEnding::kClose);
-  RawTargetFleet fleet("desk", "", broken, RawEnding::kClose);
-  fleet.fleet.WriteEntry("i-z", other.Address(), "desk", "", "ready", RawTarget::kStartedAt);
-  Await("the stream to be resumed", [&] {
-    const int before = fleet.target.CountRequests();
-    const int beforeOther = other.CountRequests();
-    const CallerAnswer answer = fleet.Send("/memo/x");
-    const bool resumed =
-      fleet.target.CountRequests() > before && other.CountRequests() > beforeOther;
-    if (resumed) {
-      CHECK(answer.complete);
-      CHECK(answer.body == kEvents + rest);
-    }
-    return resumed;
+  WireFleet fleet;
+  fleet.WriteEntry("i-a", broken.Address(), "desk", "", "ready", RawTarget::kStartedAt);
+  fleet.WriteEntry("i-b", other.Address(), "desk", "", "ready", RawTarget::kStartedAt);
+  fleet.AddRoute("memo", { { "kind", "stream" }, { "allowResume", true } });
+  fleet.Configure(3);
+  fleet.StartGateway();
+  CallerAnswer answer;
+  Await("the stream to begin at the first target", [&] {
+    answer = fleet.Call("POST", "/memo/x", "m");
+    return broken.CountRequests() > 0;
   });
+  CHECK(other.CountRequests() == 1);
+  CHECK(answer.complete);
+  CHECK(answer.body == kEvents + rest);
 }
 
 TEST_CASE("a stream that is cut while its route moves to another service does not look complete")
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -321,12 +321,13 @@
 {
   EventStream events;
   CHECK(events.ExtractComplete("id: 1\ndata: a\n").empty());
-  CHECK(events.HasPartial());
+  CHECK(events.Read().insideEvent);
+  CHECK_FALSE(events.Read().hasEvent);
   CHECK(events.ExtractComplete("\nid: 2\nda") == "id: 1\ndata: a\n\n");
   CHECK(events.LastEventId() == "1");
   SUBCASE("a partial event can be dropped")
   {
-    events.DropPartial();
+    events.BeginResponse();
     CHECK(events.ExtractComplete("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(events.LastEventId() == "2");
   }
@@ -338,12 +339,37 @@
   }
   SUBCASE("lines may end with CRLF")
   {
-    events.DropPartial();
+    events.BeginResponse();
     CHECK(events.ExtractComplete("id:7\r\ndata: c\r\n\r\n") == "id:7\r\ndata: c\r\n\r\n");
     CHECK(events.LastEventId() == "7");
   }
 }
 
+TEST_CASE("lines of an event may end in different ways")
+{
+  EventStream events;
+  const std::string text = "id: 1\ndata: a\n\r\nid: 2\r\ndata: b\r\n\n: wait\n\nid: 3\n";
+  const std::size_t last = text.rfind("id: 3");
+  CHECK(events.ExtractComplete(text) == text.substr(0, last));
+  CHECK(events.LastEventId() == "2");
+  CHECK(events.Read().insideEvent);
+}
+
+TEST_CASE("a whole body is read as events only if it has an event's field")
+{
+  CHECK(ReadEvents("id: 1\ndata: a\n\n").hasEvent);
+  CHECK_FALSE(ReadEvents("id: 1\ndata: a\n\n").insideEvent);
+  CHECK(ReadEvents("id: 1\r\ndata: a\r\n\r\ndata").insideEvent);
+  CHECK(ReadEvents("data: a\n").insideEvent);
+  CHECK(ReadEvents("data: a").insideEvent);
+  CHECK_FALSE(ReadEvents("data: a").hasEvent);
+  for (const char* other : { "", "{\"id\": 1}", "{\n\"data\": 1\n}\n\n{" }) {
+    CAPTURE(other);
+    CHECK_FALSE(ReadEvents(other).hasEvent);
+    CHECK_FALSE(ReadEvents(other).insideEvent);
+  }
+}
+
 TEST_CASE("the output does not depend on how the input is split into chunks")
 {
   setenv("RC_PARAMS", "seed=1", 0);
@@ -359,7 +385,8 @@
     }
     RC_ASSERT(taken == text);
     RC_ASSERT(events.LastEventId() == "3");
-    RC_ASSERT(!events.HasPartial());
+    RC_ASSERT(!events.Read().insideEvent);
+    RC_ASSERT(events.Read().hasEvent);
   }));
 }
 
