Take an unmarked end for a cut once the target's time is over

Callers saw a stream as complete that its target had stopped at the deadline it was given. A worker stops at X-Deadline-Ms; a stream without a length or chunks then ends between two events by FIN, and its target lives and confirms. Our own timer for the same moment may lose: the time left is cut to whole milliseconds, the target's clock starts later, and after its report nobody asked for the time. With the instance frozen across the moment it always lost.

The judge now compares the time that the target was given with the time from before the request was sent until its end was read, so no timer of ours decides. The end of a target that keeps its limit comes after both, and the limit's resolution of 1 ms is allowed for. An end that a length or a last chunk marks is not concerned.

--- a/include/plantainslip/net/response_end.hpp
+++ b/include/plantainslip/net/response_end.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <optional>
 #include <string_view>
 
 namespace plantainslip::net {
@@ -47,6 +49,10 @@
   /// @brief Whether a successful response consists of events.
   bool expectsEvents = false;
   EventsRead events;
+  /// @brief Time limit that the sender was given, if any; it stops there.
+  std::optional<std::chrono::nanoseconds> timeGiven;
+  /// @brief Time from before the request was sent until the end was read.
+  std::chrono::nanoseconds timeUsed{ 0 };
   SenderState sender = SenderState::kNotAsked;
 };
 
@@ -59,14 +65,15 @@
   kInsideEvent,
   kBeforeFirstEvent,
   kRequestNotSent,
+  kTimeOver,
   kSenderUnconfirmed,
 };
 
 /// @brief Decides whether a response is whole. Everything that completes an answer asks here.
 ///
 /// An end that the sender marks, by a length or a last chunk, counts if it does not lie inside an
-/// event. The end of a connection is marked by nobody: it also comes from a sender that crashes
-/// or is cut off, so these have to be excluded.
+/// event. The end of a connection is marked by nobody: it also comes from a sender that crashes,
+/// that stops at its time limit or that is cut off, so all of these have to be excluded.
 EndJudgement
 JudgeEnd(const ResponseEnd& aEnd);
 
--- a/src/net/response_end.cpp
+++ b/src/net/response_end.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// Senders are told their time limit in whole milliseconds, and may stop that much early.
+constexpr std::chrono::milliseconds kTimeLimitResolution{ 1 };
+
 bool
 IsSuccess(int aStatus)
 {
@@ -44,6 +47,9 @@
   if (!aEnd.requestSent) {
     return EndJudgement::kRequestNotSent;
   }
+  if (aEnd.timeGiven.has_value() && aEnd.timeUsed + kTimeLimitResolution >= *aEnd.timeGiven) {
+    return EndJudgement::kTimeOver;
+  }
   switch (aEnd.sender) {
     case SenderState::kNotAsked:
       return EndJudgement::kAskSender;
@@ -69,6 +75,8 @@
       return "it ended before its first event";
     case EndJudgement::kRequestNotSent:
       return "the connection was lost while the request was sent";
+    case EndJudgement::kTimeOver:
+      return "it ended when the target's time was over";
     case EndJudgement::kSenderUnconfirmed:
       break;
   }
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -281,9 +281,8 @@
                 { "error", std::string(answer.status().message()) } });
     co_return false;
   }
-  RecordNotices(this->context,
-                this->target,
-                this->context.protocol.ReadResponse(answer->status, answer->headers));
+  const ResponseInfo info = this->context.protocol.ReadResponse(answer->status, answer->headers);
+  RecordNotices(this->context, this->target, info);
   const auto startedAt = this->context.protocol.ReadStartTime(answer->body);
   const bool running = IsRunning(this->target, answer->status, startedAt);
   core::Log(core::LogLevel::kInfo,
@@ -301,6 +300,7 @@
 AttemptCall::RecordReadTime()
 {
   this->request.readUntil = this->context.clock.Now();
+  this->end.timeUsed = *this->request.readUntil - this->request.sentAt;
 }
 
 Task<absl::Status>
@@ -330,7 +330,10 @@
               { "reason", std::string(net::Describe(judgement)) } });
   const absl::Status cut =
     core::MakeError(errors::kConnectionLost, std::string(net::Describe(judgement)));
-  this->CheckTargetAfter(cut);
+  // A target that stops when its time is over has not been ended by the request.
+  if (judgement != net::EndJudgement::kTimeOver) {
+    this->CheckTargetAfter(cut);
+  }
   co_return cut;
 }
 
@@ -411,6 +414,7 @@
   this->request.readUntil.reset();
   std::string requestHead = this->RequestHead(aPlan);
   this->request.timeGiven = aPlan.timeLeft;
+  this->end.timeGiven = aPlan.timeLeft;
   const absl::Status sent =
     co_await this->call->Send(std::move(requestHead), this->request.caller.body);
   this->end.requestSent = sent.ok();
--- a/tests/src/unit-response-end.cpp
+++ b/tests/src/unit-response-end.cpp
@@ -1,11 +1,13 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <set>
 #include <string_view>
 
 #include <plantainslip/net/response_end.hpp>
 
-using namespace plantainslip::net; // NOLINT(google-build-using-namespace)
+using namespace plantainslip::net;    // NOLINT(google-build-using-namespace)
+using namespace std::chrono_literals; // NOLINT(google-build-using-namespace)
 
 namespace {
 
@@ -17,6 +19,8 @@
   end.framing = aFraming;
   end.expectsEvents = true;
   end.events.hasEvent = true;
+  end.timeGiven = 1'000ms;
+  end.timeUsed = 700ms;
   end.sender = SenderState::kRunning;
   return end;
 }
@@ -70,6 +74,17 @@
     end.sender = SenderState::kUnconfirmed;
     CHECK(JudgeEnd(end) == EndJudgement::kSenderUnconfirmed);
   }
+  SUBCASE("time that was left")
+  {
+    end.timeUsed = 998ms;
+    CHECK(JudgeEnd(end) == EndJudgement::kWhole);
+    for (const auto used : { 999ms, 1'000ms, 5'000ms }) {
+      end.timeUsed = used;
+      CHECK(JudgeEnd(end) == EndJudgement::kTimeOver);
+    }
+    end.timeGiven.reset();
+    CHECK(JudgeEnd(end) == EndJudgement::kWhole);
+  }
 }
 
 TEST_CASE("a length or a last chunk marks an end whatever else is known of its sender")
@@ -78,6 +93,7 @@
     ResponseEnd end = WholeStream(framing);
     end.requestSent = false;
     end.sender = SenderState::kNotAsked;
+    end.timeUsed = 2'000ms;
     CHECK(JudgeEnd(end) == EndJudgement::kWhole);
   }
 }
