Let only the listed process of a target confirm an end

An answer without a length was confirmed by any status but 421, and without a start time: by whatever listens at the address. So 200 with the start time that the directory lists confirms, and for a service without a stage that refusal, which any other process would have misdirected.

The unit test's checks that 503, a report without a start time, or an entry without one confirm were wrong: none shows that the listed process runs. They are replaced by the opposite ones, and by more statuses.

--- a/include/plantainslip/serving/target_notices.hpp
+++ b/include/plantainslip/serving/target_notices.hpp
@@ -26,17 +26,22 @@
   return { aTarget.id, aTarget.startedAt };
 }
 
-/// @brief Returns whether the response to a request for a target's report shows that the process
+/// @brief Returns whether the response to a request for a target's report confirms that the process
 ///        that a directory entry describes is still running.
-/// @param aStatus  status of the response; any process but the target misdirects the request
+///
+/// An engine's report states when its process started. A plain service has no report: it refuses
+/// the request as one without an id, and any other process would have misdirected it.
+/// @param aNotRun  whether the response states that the request was not run
 /// @param aStartedAt  start time that the report states, if any
 inline bool
-IsRunning(const Target& aTarget, int aStatus, std::optional<std::uint64_t> aStartedAt)
+IsRunning(const Target& aTarget, int aStatus, bool aNotRun, std::optional<std::uint64_t> aStartedAt)
 {
-  constexpr int kMisdirected = 421;
-  const bool isOtherStart =
-    aStartedAt.has_value() && aTarget.startedAt != 0 && *aStartedAt != aTarget.startedAt;
-  return aStatus != kMisdirected && !isOtherStart;
+  constexpr int kOk = 200;
+  constexpr int kBadRequest = 400;
+  if (aStatus == kBadRequest) {
+    return aTarget.stage == EngineStage::kNone && aNotRun;
+  }
+  return aStatus == kOk && aStartedAt.has_value() && *aStartedAt == aTarget.startedAt;
 }
 
 /// @brief Remembers what targets state about themselves in their responses.
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -284,7 +284,7 @@
   const ResponseInfo info = this->context.protocol.ReadResponse(answer->status, answer->headers);
   RecordNotices(this->context, this->target, info);
   const auto startedAt = this->context.protocol.ReadStartTime(answer->body);
-  const bool running = IsRunning(this->target, answer->status, startedAt);
+  const bool running = IsRunning(this->target, answer->status, info.notRun, startedAt);
   core::Log(core::LogLevel::kInfo,
             "target's report received",
             { { "target", this->target.id.Text() },
@@ -412,6 +412,8 @@
   this->request.sentTo.push_back(this->target.id);
   this->request.sentAt = this->context.clock.Now();
   this->request.readUntil.reset();
+  this->request.relay = {};
+  this->request.responseEnd = {};
   std::string requestHead = this->RequestHead(aPlan);
   this->request.timeGiven = aPlan.timeLeft;
   this->end.timeGiven = aPlan.timeLeft;
--- a/tests/fakes/raw_target.cpp
+++ b/tests/fakes/raw_target.cpp
@@ -183,6 +183,9 @@
              ? "HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
              : "HTTP/1.1 421 Misdirected Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
   }
+  if (IsReportRequest(aRequest) && !this->report.empty()) {
+    return this->report;
+  }
   if (IsReportRequest(aRequest)) {
     const bool isLater = this->ended && this->ending == RawEnding::kRestartProcess;
     const std::string body =
--- a/tests/fakes/raw_target.hpp
+++ b/tests/fakes/raw_target.hpp
@@ -57,6 +57,9 @@
 
   net::Address Address() const { return this->address; }
 
+  /// @brief Sets the response to a request for a report; before any request.
+  void SetReport(std::string aResponse) { this->report = std::move(aResponse); }
+
   /// @brief Sets how much earlier than allowed a target with kStopAtDeadline stops.
   void SetMargin(std::chrono::milliseconds aMargin) { this->margin = aMargin; }
 
@@ -82,6 +85,8 @@
 
   std::string beginning;
   std::string repeated;
+  /// @brief Response to a request for a report; empty for one that states kStartedAt.
+  std::string report;
   std::chrono::milliseconds pause;
   std::chrono::milliseconds margin{ 0 };
   /// @brief Absent for responses that never end.
--- a/tests/src/process-answer-ends.cpp
+++ b/tests/src/process-answer-ends.cpp
@@ -231,6 +231,40 @@
   }
 }
 
+// Guards against any process at a target's address that is taken for the target.
+TEST_CASE("an end that its target does not confirm by a report of its own does not look complete")
+{
+  for (const std::string report : { "404 Not Found\r\n",
+                                    "500 Internal Server Error\r\n",
+                                    "503 Service Unavailable\r\nX-Not-Run: 1\r\n",
+                                    "400 Bad Request\r\n",
+                                    "200 OK\r\n" }) {
+    CAPTURE(report);
+    AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, RawEnding::kClose);
+    fleet.raw.target.SetReport("HTTP/1.1 " + report + "Content-Length: 2\r\n\r\n{}");
+    for (const StreamPath& path : StreamPaths()) {
+      CAPTURE(path.name);
+      const CallerAnswer answer = fleet.Complete(path);
+      CHECK_FALSE((answer.status == 200 && answer.complete));
+    }
+  }
+}
+
+TEST_CASE("a plain service that has no report confirms its answers without a length")
+{
+  const std::string refusal =
+    "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, RawEnding::kClose);
+  fleet.raw.target.SetReport(refusal);
+  for (const std::string path : { "/brief/x", "/memo/x", "/pay/x", "/look/x" }) {
+    CAPTURE(path);
+    const CallerAnswer answer = fleet.Complete({ path, path, "" });
+    CHECK(answer.status == 200);
+    CHECK(answer.complete);
+    CHECK(answer.body == kEvents);
+  }
+}
+
 TEST_CASE("a whole stream is passed on as complete on every path")
 {
   for (const ResponseCase& response :
--- a/tests/src/unit-wire.cpp
+++ b/tests/src/unit-wire.cpp
@@ -233,11 +233,25 @@
     CAPTURE(report);
     CHECK_FALSE(protocol.ReadStartTime(report).has_value());
   }
-  CHECK(IsRunning(target, 200, 1'000));
-  CHECK(IsRunning(target, 200, std::nullopt));
-  CHECK(IsRunning(target, 503, std::nullopt));
-  CHECK_FALSE(IsRunning(target, 200, 2'000));
-  CHECK_FALSE(IsRunning(target, 421, std::nullopt));
+  CHECK(IsRunning(target, 200, false, 1'000));
+  CHECK_FALSE(IsRunning(target, 200, false, std::nullopt));
+  CHECK_FALSE(IsRunning(target, 200, false, 2'000));
+  for (const int status : { 404, 421, 429, 500, 503 }) {
+    CAPTURE(status);
+    CHECK_FALSE(IsRunning(target, status, true, std::nullopt));
+    CHECK_FALSE(IsRunning(target, status, false, 1'000));
+  }
   target.startedAt = 0;
-  CHECK(IsRunning(target, 200, 2'000));
+  CHECK_FALSE(IsRunning(target, 200, false, 2'000));
+}
+
+// Guards against a plain service's whole answers that count as cut, as it has no report.
+TEST_CASE("a plain service confirms that it is running by refusing the request for a report")
+{
+  Target target;
+  target.startedAt = 1'000;
+  CHECK(IsRunning(target, 400, true, std::nullopt));
+  CHECK_FALSE(IsRunning(target, 400, false, std::nullopt));
+  target.stage = EngineStage::kDecode;
+  CHECK_FALSE(IsRunning(target, 400, true, std::nullopt));
 }
