--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -372,6 +372,21 @@
          this->context.limits.TryTake(ProcessOf(this->target), now);
 }
 
+std::string
+AttemptCall::BeginSending(AttemptPlan& aPlan)
+{
+  ++this->request.attempts;
+  this->request.sentTo.push_back(this->target.id);
+  this->request.sentAt = this->context.clock.Now();
+  this->request.readUntil.reset();
+  this->request.relay = {};
+  this->request.responseEnd = {};
+  std::string requestHead = this->RequestHead(aPlan);
+  this->request.timeGiven = aPlan.timeLeft;
+  this->end.timeGiven = aPlan.timeLeft;
+  return requestHead;
+}
+
 Task<Attempt>
 AttemptCall::SendAndReadHead(AttemptPlan aPlan, milliseconds aLimit)
 {
@@ -408,15 +423,7 @@
   const bool runsRequest = aPlan.step != AttemptStep::kPrefill;
   const bool ranBefore = this->request.mayHaveRun;
   this->request.mayHaveRun = ranBefore || runsRequest;
-  ++this->request.attempts;
-  this->request.sentTo.push_back(this->target.id);
-  this->request.sentAt = this->context.clock.Now();
-  this->request.readUntil.reset();
-  this->request.relay = {};
-  this->request.responseEnd = {};
-  std::string requestHead = this->RequestHead(aPlan);
-  this->request.timeGiven = aPlan.timeLeft;
-  this->end.timeGiven = aPlan.timeLeft;
+  std::string requestHead = this->BeginSending(aPlan);
   const absl::Status sent =
     co_await this->call->Send(std::move(requestHead), this->request.caller.body);
   this->end.requestSent = sent.ok();
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -81,6 +81,8 @@
 
 private:
   std::string RequestHead(AttemptPlan& aPlan) const;
+  /// @brief Counts the attempt, starts its time, and returns the head of its request.
+  std::string BeginSending(AttemptPlan& aPlan);
   milliseconds MaxIdle(AttemptStep aStep) const;
   /// @brief Returns whether the target, chosen before the wait for a connection, is still listed
   ///        and takes this request, which then counts for its rate limit.
--- a/tests/src/process-answer-ends.cpp
+++ b/tests/src/process-answer-ends.cpp
@@ -25,6 +25,10 @@
 const std::string kStreamHead = kHead + "Content-Type: text/event-stream\r\n";
 const std::string kEvents = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
 const std::string kHalfEvent = "id: 3\ndata: pi";
+/// Streams that nothing but the end of the connection marks.
+const std::string kUnmarkedHead = kStreamHead + "\r\n";
+const std::string kUnmarkedStream = kUnmarkedHead + kEvents;
+const std::string kLeavingStream = kStreamHead + "Server-Leaving: 1\r\n\r\n" + kEvents;
 
 /// @brief A way by which the answer to a request on a stream route reaches its caller.
 struct StreamPath
@@ -127,8 +131,8 @@
 TEST_CASE("a stream that ends inside an event does not look complete on any path")
 {
   const std::string body = kEvents + kHalfEvent;
-  CheckNeverComplete({ { "no length, FIN", kStreamHead + "\r\n" + body },
-                       { "no length, RST", kStreamHead + "\r\n" + body, RawEnding::kReset },
+  CheckNeverComplete({ { "no length, FIN", kUnmarkedHead + body },
+                       { "no length, RST", kUnmarkedHead + body, RawEnding::kReset },
                        { "no length, no media type", kHead + "\r\n" + body },
                        { "length", WithLength(kStreamHead, body) },
                        { "last chunk", WithChunks(kStreamHead, body) },
@@ -163,7 +167,7 @@
     for (const StreamPath& path : StreamPaths()) {
       CAPTURE(static_cast<int>(ending));
       CAPTURE(path.name);
-      AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, ending);
+      AnyPathFleet fleet(kUnmarkedStream, ending);
       const CallerAnswer answer = fleet.Complete(path);
       CHECK_FALSE((answer.status == 200 && answer.complete));
       CHECK((answer.status != 200 || answer.body == kEvents));
@@ -174,7 +178,7 @@
 // Guards against an end that comes from the time limit and is taken for the end of the answer.
 TEST_CASE("a stream whose target stops at its deadline does not look complete on any path")
 {
-  AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, RawEnding::kStopAtDeadline);
+  AnyPathFleet fleet(kUnmarkedStream, RawEnding::kStopAtDeadline);
   for (const std::string version : { "1.1", "1.0" }) {
     fleet.raw.fleet.SetCallerVersion(version);
     for (const StreamPath& path : StreamPaths()) {
@@ -189,7 +193,7 @@
 
 TEST_CASE("a stream whose target stops while the instance is frozen does not look complete")
 {
-  AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, RawEnding::kStopAtDeadline);
+  AnyPathFleet fleet(kUnmarkedStream, RawEnding::kStopAtDeadline);
   for (const StreamPath& path : StreamPaths()) {
     CAPTURE(path.name);
     fleet.raw.fleet.SetCallerDeadline(400ms);
@@ -217,7 +221,7 @@
 
 TEST_CASE("a whole answer without a length that ends well before its deadline is passed on")
 {
-  AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, RawEnding::kStopAtDeadline);
+  AnyPathFleet fleet(kUnmarkedStream, RawEnding::kStopAtDeadline);
   fleet.raw.target.SetMargin(300ms);
   std::vector<StreamPath> paths = StreamPaths();
   paths.push_back({ "plain answer", "/pay/x", "" });
@@ -240,7 +244,7 @@
                                     "400 Bad Request\r\n",
                                     "200 OK\r\n" }) {
     CAPTURE(report);
-    AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, RawEnding::kClose);
+    AnyPathFleet fleet(kUnmarkedStream, RawEnding::kClose);
     fleet.raw.target.SetReport("HTTP/1.1 " + report + "Content-Length: 2\r\n\r\n{}");
     for (const StreamPath& path : StreamPaths()) {
       CAPTURE(path.name);
@@ -254,7 +258,7 @@
 {
   const std::string refusal =
     "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-  AnyPathFleet fleet(kStreamHead + "\r\n" + kEvents, RawEnding::kClose);
+  AnyPathFleet fleet(kUnmarkedStream, RawEnding::kClose);
   fleet.raw.target.SetReport(refusal);
   for (const std::string path : { "/brief/x", "/memo/x", "/pay/x", "/look/x" }) {
     CAPTURE(path);
@@ -268,9 +272,8 @@
 TEST_CASE("a whole stream is passed on as complete on every path")
 {
   for (const ResponseCase& response :
-       { ResponseCase{ "no length", kStreamHead + "\r\n" + kEvents },
-         ResponseCase{ "no length, leaving target",
-                       kStreamHead + "Server-Leaving: 1\r\n\r\n" + kEvents },
+       { ResponseCase{ "no length", kUnmarkedStream },
+         ResponseCase{ "no length, leaving target", kLeavingStream },
          ResponseCase{ "length", WithLength(kStreamHead, kEvents) },
          ResponseCase{ "chunks", WithChunks(kStreamHead, kEvents) } }) {
     CAPTURE(response.name);
@@ -296,7 +299,7 @@
 
 TEST_CASE("events are passed on as they arrive on every path")
 {
-  RawTarget endless(kStreamHead + "\r\n" + kEvents, ":\n\n", 50ms);
+  RawTarget endless(kUnmarkedStream, ":\n\n", 50ms);
   WireFleet fleet;
   fleet.WriteEntry("i-raw", endless.Address(), "models", "decode");
   fleet.WriteEntry("i-desk", endless.Address(), "desk", "");
@@ -325,7 +328,7 @@
 // Guards against a late second answer on a connection whose end marks the first one's.
 TEST_CASE("an answer that follows a stream without a length is not passed on as part of it")
 {
-  const std::string whole = kStreamHead + "\r\n" + kEvents;
+  const std::string whole = kUnmarkedStream;
   CheckNeverComplete({ { "the same again", whole + whole },
                        { "no ids", whole + kStreamHead + "\r\ndata: piece 1\n\n" },
                        { "chunks", whole + WithChunks(kStreamHead, kEvents) },
@@ -334,7 +337,7 @@
 
 TEST_CASE("a stream is not continued with events that its caller has")
 {
-  const std::string broken = kStreamHead + "\r\n" + kEvents + kHalfEvent;
+  const std::string broken = kUnmarkedStream + kHalfEvent;
   RawTarget other(kStreamHead + "Connection: close\r\n\r\n" + kEvents, RawEnding::kClose);
   RawTargetFleet fleet("models", "decode", broken, RawEnding::kClose, "", other.Address());
   Await("the stream to be broken off and tried elsewhere", [&] {
@@ -351,7 +354,7 @@
 TEST_CASE("a stream of a plain service that breaks off is resumed at another target")
 {
   const std::string rest = "id: 3\ndata: piece 3\n\n";
-  RawTarget broken(kStreamHead + "\r\n" + kEvents + kHalfEvent, RawEnding::kClose);
+  RawTarget broken(kUnmarkedStream + kHalfEvent, RawEnding::kClose);
   RawTarget other(kStreamHead + "\r\n" + rest, RawEnding::kClose);
   WireFleet fleet;
   fleet.WriteEntry("i-a", broken.Address(), "desk", "", "ready", RawTarget::kStartedAt);
@@ -373,7 +376,7 @@
 {
   for (const std::string& body : { kEvents, kEvents + kHalfEvent }) {
     CAPTURE(body);
-    AnyPathFleet fleet(kStreamHead + "\r\n" + body, RawEnding::kStopAtDeadline);
+    AnyPathFleet fleet(kUnmarkedHead + body, RawEnding::kStopAtDeadline);
     fleet.raw.target.SetMargin(1'000ms);
     for (const std::string service : { "models", "desk" }) {
       CAPTURE(service);
