--- a/include/plantainslip/net/response_end.hpp
+++ b/include/plantainslip/net/response_end.hpp
@@ -6,6 +6,10 @@
 
 namespace plantainslip::net {
 
+/// @brief Returns whether a status means that the request succeeded (2xx).
+bool
+IsSuccess(int aStatus);
+
 /// @brief How the end of a response's body is marked.
 enum class BodyFraming
 {
--- a/src/net/response_end.cpp
+++ b/src/net/response_end.cpp
@@ -7,6 +7,8 @@
 /// Senders are told their time limit in whole milliseconds, and may stop that much early.
 constexpr std::chrono::milliseconds kTimeLimitResolution{ 1 };
 
+} // namespace
+
 bool
 IsSuccess(int aStatus)
 {
@@ -15,8 +17,6 @@
   return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
 }
 
-} // namespace
-
 std::string_view
 FramingName(BodyFraming aFraming)
 {
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -23,8 +23,6 @@
 /// Excludes all idle connections.
 constexpr milliseconds kNewConnection{ -1 };
 
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 constexpr int kMisdirected = 421;
 
@@ -42,12 +40,6 @@
   return "whole";
 }
 
-bool
-IsSuccess(int aStatus)
-{
-  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
-}
-
 void
 RecordLimit(PathContext& aContext, const Target& aTarget, std::optional<double> aRequestsPerSecond)
 {
@@ -257,7 +249,7 @@
     return;
   }
   this->hasAnswer = true;
-  if (this->step != AttemptStep::kPrefill && IsSuccess(this->end.status)) {
+  if (this->step != AttemptStep::kPrefill && net::IsSuccess(this->end.status)) {
     this->context.quarantine.RecordAnswer(this->request.traits, this->context.clock.Now());
     LogQuarantineChanges(this->context);
   }
@@ -449,7 +441,7 @@
   const bool isStream = this->request.route.kind == RequestKind::kStream;
   this->end.expectsEvents = runsRequest && (isStream || IsEventStream(attempt.head.headers));
   this->request.framing = net::FramingName(this->end.framing);
-  const bool success = IsSuccess(this->end.status);
+  const bool success = net::IsSuccess(this->end.status);
   if (attempt.info.notRun) {
     attempt.state = AttemptState::kNotRun;
     this->request.mayHaveRun = ranBefore;
--- a/tests/src/process-answer-ends.cpp
+++ b/tests/src/process-answer-ends.cpp
@@ -394,3 +394,46 @@
     }
   }
 }
+
+// Guards against a stopping instance that ends a stream which its target has not ended.
+TEST_CASE("a stream that an instance serves while it stops looks complete only if it is")
+{
+  for (const std::string& body : { kEvents, kEvents + kHalfEvent }) {
+    for (const std::string path : { "/quote/x", "/brief/x" }) {
+      CAPTURE(body);
+      CAPTURE(path);
+      AnyPathFleet fleet(kUnmarkedHead + body, RawEnding::kStopAtDeadline);
+      fleet.raw.target.SetMargin(500ms);
+      const StreamPath stream{ path, path, WireFleet::CompletionHeaders() };
+      fleet.raw.fleet.SetCallerDeadline(700ms);
+      fleet.Complete(stream);
+      fleet.raw.fleet.SetCallerDeadline(1'200ms);
+      auto pending = std::async(std::launch::async, [&] { return fleet.raw.Send(path); });
+      std::this_thread::sleep_for(200ms);
+      fleet.raw.fleet.Gateway(0).Signal(SIGTERM);
+      const CallerAnswer answer = pending.get();
+      CHECK(answer.status == 200);
+      CHECK(answer.complete == (body == kEvents));
+      CHECK(answer.body == kEvents);
+    }
+  }
+}
+
+TEST_CASE("a failure that breaks off is not passed on, on any path")
+{
+  const std::string failure =
+    "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\n";
+  for (const ResponseCase& response :
+       { ResponseCase{ "short of its length", WithLength(failure, "{\"error\":", 3) },
+         ResponseCase{ "no last chunk", WithChunks(failure, "{\"error\":", false) },
+         ResponseCase{ "no length, RST", failure + "\r\n{\"error\":", RawEnding::kReset } }) {
+    CAPTURE(response.name);
+    AnyPathFleet fleet(response.bytes, response.ending);
+    for (const StreamPath& path : StreamPaths()) {
+      CAPTURE(path.name);
+      const CallerAnswer answer = fleet.Complete(path);
+      CHECK(answer.status == 502);
+      CHECK(answer.head.find("X-Response-Seal") == std::string::npos);
+    }
+  }
+}
