--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -62,9 +62,8 @@
   /// After the last part, CheckEnd() tells whether the response is whole.
   Task<absl::StatusOr<bool>> ReadSome(std::string& aBody);
 
-  /// @brief Checks, after the last part of the body was read, whether the response is whole. May
-  /// ask
-  ///        the target whether it is still running.
+  /// @brief Checks, after the last part of the body was read, whether the response is whole; may
+  ///        ask the target whether it is still running.
   /// @param aEvents  what the body looks like as a series of events
   /// @return OK, or error 1502 (serving.connection_lost) with the reason
   Task<absl::Status> CheckEnd(net::EventsRead aEvents);
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -75,10 +75,6 @@
   });
 }
 
-} // namespace
-
-namespace {
-
 std::string_view
 KindName(RequestKind aKind)
 {
