End a listener's accept loop also if it is closed while a connection arrives

Cause, shown with a debugger: all sessions of the fakes had ended, and a loop went on. Close() came after a connection had been accepted and before the accept loop went on; the next accept then failed with another error than 'operation aborted', and the loop tried again for ever. The same listener serves the gateway, which stops its event loop by itself, so callers saw nothing of it.

The loop ends once the acceptor is closed; a connection accepted before still gets its session.

--- a/src/serving/http_listener.cpp
+++ b/src/serving/http_listener.cpp
@@ -57,7 +57,8 @@
 Task<void>
 HttpListener::Accept()
 {
-  while (true) {
+  // A connection may have been accepted before Close() and be handled after it.
+  while (this->acceptor.is_open()) {
     ErrorCode error;
     Tcp::socket socket(this->context);
     co_await this->acceptor.async_accept(socket, RedirectError(error));
--- a/tests/src/unit-caller-session.cpp
+++ b/tests/src/unit-caller-session.cpp
@@ -209,3 +209,17 @@
   CHECK(rig.started == 0);
   CHECK(rig.ReadAnswers().starts_with(kTimedOut));
 }
+
+// Guards against a listener that waits for connections for ever after it was closed.
+TEST_CASE("a listener that is closed while a connection arrives ends")
+{
+  for (int steps = 0; steps <= kMaxSteps; ++steps) {
+    CAPTURE(steps);
+    ListenerRig rig;
+    rig.RunSteps(steps);
+    asio::post(rig.context, [&] { rig.listener->Close(); });
+    rig.connection->FinishSending();
+    rig.RunFor(1s);
+    CHECK(rig.context.stopped());
+  }
+}
