--- a/include/plantainslip/serving/fleet.hpp
+++ b/include/plantainslip/serving/fleet.hpp
@@ -13,6 +13,10 @@
 #include <plantainslip/net/address.hpp>
 #include <plantainslip/serving/store_items.hpp>
 
+namespace plantainslip::workspaces {
+class KeyTable;
+} // namespace plantainslip::workspaces
+
 namespace plantainslip::serving {
 
 using std::chrono::milliseconds;
@@ -58,6 +62,8 @@
   bool hasPromptParts = false;
   /// @brief Whether a broken stream may be resumed at another target.
   bool resumable = false;
+  /// @brief Whether requests need no key although the configuration has workspaces.
+  bool isPublic = false;
 };
 
 /// @brief Capacities and timings of a service's engines.
@@ -76,6 +82,20 @@
   milliseconds stageChangeDuration{ 0 };
 };
 
+/// @brief Limits and prices for the number of a service's targets.
+struct ScalingLimits
+{
+  /// @brief Targets in each zone, regular and reclaimable ones together.
+  std::uint64_t minPerZone = 0;
+  std::uint64_t maxPerZone = 0;
+  /// @brief Time from an order until a new target serves.
+  milliseconds startupTime{ 0 };
+  /// @brief Price of a reclaimable target as a share of a regular one's; absent if there are none.
+  std::optional<double> reclaimablePrice;
+  /// @brief Price of one second of a regular target by zone, in the platform's unit.
+  std::map<core::ZoneId, double> zonePrices;
+};
+
 /// @brief One service of the configuration.
 struct Service
 {
@@ -84,6 +104,8 @@
   std::uint64_t maxConnections = 0;
   /// @brief Absent for plain services.
   std::optional<EngineLimits> engine;
+  /// @brief Absent if the number of targets is not this system's to choose.
+  std::optional<ScalingLimits> scaling;
 };
 
 /// @brief Limits on requests and connections of callers.
@@ -102,6 +124,8 @@
   std::vector<Route> routes;
   std::map<core::ServiceName, Service> services;
   CallerLimits limits;
+  /// @brief Keys of the workspaces; null if requests need no key.
+  std::shared_ptr<const workspaces::KeyTable> workspaces;
 };
 
 /// @brief Phase of a completion that an engine serves.
@@ -127,6 +151,8 @@
   std::uint64_t slots = 1;
   /// @brief Start of the process in Unix milliseconds; zero if unknown.
   std::uint64_t startedAt = 0;
+  /// @brief Whether the platform may reclaim the target, with all others of its zone, at any time.
+  bool reclaimable = false;
 
   bool operator==(const Target&) const = default;
 };
