--- a/apps/gateway/gateway.hpp
+++ b/apps/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include <absl/status/status.h>
 
+#include <plantainslip/scaling/service_planner.hpp>
 #include <plantainslip/serving/request_quarantine.hpp>
 #include <plantainslip/serving/stage_plan.hpp>
 
@@ -19,6 +20,7 @@
   std::optional<double> initialDecodeShare;
   serving::StageChangeCosts stageChangeCosts = {};
   serving::QuarantineOptions quarantine = {};
+  scaling::ScalingOptions scaling = {};
 };
 
 /// @brief Serves callers until SIGTERM or SIGINT, then drains open requests.
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -22,6 +22,54 @@
       .count());
 };
 
+void
+AddScalingFlags(apps::CommandLine& aLine, scaling::ScalingOptions& aOptions)
+{
+  const std::string group = "Numbers of targets";
+  constexpr double kMaxBurstFactor = 10.0;
+  constexpr double kMinUse = 0.05;
+  constexpr double kMaxUse = 0.95;
+  constexpr double kMaxStartups = 100.0;
+  constexpr double kMinStep = 0.01;
+  aLine
+    .Add("scaling-burst-factor",
+         aOptions.headroom.burstFactor,
+         "Growth of the demand that the targets bear while new ones start",
+         group)
+    ->check(CLI::Range(1.0, kMaxBurstFactor));
+  aLine
+    .Add("scaling-max-use",
+         aOptions.headroom.maxUse,
+         "Share of the targets' time, slots and memory that may be taken in such a burst",
+         group)
+    ->check(CLI::Range(kMinUse, kMaxUse));
+  aLine
+    .Add("scaling-regular-share",
+         aOptions.regularShare,
+         "Share of the targets that a zone needs which the platform must not be able to reclaim",
+         group)
+    ->check(CLI::Range(0.0, 1.0));
+  aLine
+    .Add("scaling-initial-share",
+         aOptions.initialShare,
+         "Share of the regular targets that reclaimable ones replace before the demand is known",
+         group)
+    ->check(CLI::Range(0.0, 1.0));
+  aLine
+    .Add("scaling-lower-after",
+         aOptions.lowerAfterStartups,
+         "Start-up times of a target for which the demand must have been lower before targets are "
+         "given up",
+         group)
+    ->check(CLI::Range(0.0, kMaxStartups));
+  aLine
+    .Add("scaling-step",
+         aOptions.maxStep,
+         "Share of the targets that are not needed which is given up in one step",
+         group)
+    ->check(CLI::Range(kMinStep, 1.0));
+}
+
 void
 AddFlags(apps::CommandLine& aLine, Flags& aFlags)
 {
@@ -67,6 +115,7 @@
          "quarantine outlasts the last request with it",
          quarantineGroup)
     ->check(CLI::Range(1U, kMaxQuarantineSeconds));
+  AddScalingFlags(aLine, aFlags.options.scaling);
 }
 
 } // namespace
--- a/include/plantainslip/serving/stage_plan.hpp
+++ b/include/plantainslip/serving/stage_plan.hpp
@@ -48,6 +48,39 @@
   std::size_t decode = 0;
 };
 
+/// @brief Growth of the demand in a burst that the engines should still serve.
+inline constexpr double kBurstFactor = 1.5;
+/// @brief Share of a decoding engine's places that may be taken: beyond it each further request
+///        slows down all others of the batch.
+inline constexpr double kUsableBatchShare = 0.5;
+
+/// @brief Headroom of the engines over the measured demand.
+struct StageHeadroom
+{
+  /// @brief Growth of the demand that must be borne while new engines start; at least 1.
+  double burstFactor = kBurstFactor;
+  /// @brief Share of the engines' time, slots and memory that may be taken in such a burst; above 0
+  ///        and below 1. The rest of the memory is left to shared prompt parts.
+  double maxUse = kUsableBatchShare;
+};
+
+/// @brief Engines that a demand needs in each stage; fractions of engines are possible.
+struct StageNeed
+{
+  double prefill = 0.0;
+  double decode = 0.0;
+
+  /// @brief Returns the number of engines for both stages.
+  double Total() const { return this->prefill + this->decode; }
+};
+
+/// @brief Returns the engines that serve a demand with headroom. Constant time.
+/// @param aLimits  capacities of one engine; a capacity of zero is unknown and does not bind
+StageNeed
+NeededEngines(const StageDemand& aDemand,
+              const EngineLimits& aLimits,
+              const StageHeadroom& aHeadroom = {});
+
 /// @brief What a change of the split costs, and how long it pays.
 struct StageChangeCosts
 {
@@ -124,8 +157,25 @@
 std::size_t
 CountEngineZones(const FleetSnapshot& aFleet, const core::ServiceName& aService);
 
+/// @brief Returns the split that the demand needs of a fleet whose number of engines is scaled.
+///
+/// Scaling removes and adds engines without regard to their stages, and new ones arrive in a stage
+/// that the platform chooses, so that one stage may be left with less than the measured demand
+/// keeps busy while the other has plenty. Without a burst factor, the needs tell when a stage is
+/// short; with it, they tell how the engines are divided. The difference keeps a wave from moving
+/// engines back and forth.
+/// @param aPlanned  split by PlanStageSplit(); kept while no stage is short of engines
+/// @param aMinDecode  least number of decoding engines, at least one
+/// @return the split; constant time
+StageSplit
+BalanceScaledSplit(const StageDemand& aDemand,
+                   const EngineLimits& aLimits,
+                   const StageSplit& aPlanned,
+                   std::size_t aMinDecode);
+
 /// @brief Returns the goal for a service's engines: by its demand, or by a given share while the
-///        demand is not known.
+///        demand is not known. Services whose number of targets is scaled are also kept balanced;
+///        see BalanceScaledSplit().
 /// @param aDemand  present demand; nothing before enough traffic was seen
 /// @param aInitialDecodeShare  share of the engines that decode until the demand is known; by
 ///                             InitialDecodeShare() if not set
--- a/src/serving/path_metrics.cpp
+++ b/src/serving/path_metrics.cpp
@@ -9,6 +9,25 @@
   ++this->counters[aName][aLabel];
 }
 
+void
+PathMetrics::Set(const std::string& aName, const std::string& aLabel, std::uint64_t aValue)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->labelledGauges[aName][aLabel] = aValue;
+}
+
+void
+PathMetrics::AppendValues(std::string& aText, const Values& aValues, const std::string& aType)
+{
+  for (const auto& [name, labels] : aValues) {
+    aText.append("# TYPE plantainslip_").append(name).append(" ").append(aType).append("\n");
+    for (const auto& [label, value] : labels) {
+      aText.append("plantainslip_").append(name).append("{kind=\"").append(label).append("\"} ");
+      aText.append(std::to_string(value)).append("\n");
+    }
+  }
+}
+
 std::string
 PathMetrics::Format() const
 {
@@ -16,13 +35,8 @@
                      this->wholeAnswer.Format("plantainslip_whole_answer_seconds") +
                      this->prefillCall.Format("plantainslip_prefill_call_seconds");
   const std::scoped_lock lock(this->mutex);
-  for (const auto& [name, labels] : this->counters) {
-    text.append("# TYPE plantainslip_").append(name).append(" counter\n");
-    for (const auto& [label, count] : labels) {
-      text.append("plantainslip_").append(name).append("{kind=\"").append(label).append("\"} ");
-      text.append(std::to_string(count)).append("\n");
-    }
-  }
+  AppendValues(text, this->counters, "counter");
+  AppendValues(text, this->labelledGauges, "gauge");
   return text;
 }
 
--- a/src/serving/path_metrics.hpp
+++ b/src/serving/path_metrics.hpp
@@ -19,6 +19,11 @@
   /// @param aLabel  value of the label `kind`
   void Count(const std::string& aName, const std::string& aLabel);
 
+  /// @brief Sets a gauge. Logarithmic in the number of gauges.
+  /// @param aName  name of the metric without its prefix, such as `scaling_desired`
+  /// @param aLabel  value of the label `kind`
+  void Set(const std::string& aName, const std::string& aLabel, std::uint64_t aValue);
+
   /// @brief Formats all metrics in the Prometheus text format.
   std::string Format() const;
 
@@ -27,8 +32,13 @@
   observe::LatencyHistogram prefillCall;
 
 private:
+  using Values = std::map<std::string, std::map<std::string, std::uint64_t>>;
+
+  static void AppendValues(std::string& aText, const Values& aValues, const std::string& aType);
+
   mutable std::mutex mutex;
-  std::map<std::string, std::map<std::string, std::uint64_t>> counters;
+  Values counters;
+  Values labelledGauges;
 };
 
 } // namespace plantainslip::serving
--- a/src/serving/stage_plan.cpp
+++ b/src/serving/stage_plan.cpp
@@ -11,11 +11,6 @@
 using Engines = std::vector<const Target*>;
 using ZoneEngines = std::map<core::ZoneId, Engines>;
 
-/// Growth of the demand in a burst that a split should still serve.
-constexpr double kBurstFactor = 1.5;
-/// Share of a decoding engine's places that may be taken: beyond it each further request slows down
-/// all others of the batch.
-constexpr double kUsableBatchShare = 0.5;
 constexpr double kMillisecondsPerSecond = 1'000.0;
 
 ZoneEngines
@@ -278,6 +273,49 @@
   return best;
 }
 
+StageNeed
+NeededEngines(const StageDemand& aDemand,
+              const EngineLimits& aLimits,
+              const StageHeadroom& aHeadroom)
+{
+  const double growth = aHeadroom.burstFactor / aHeadroom.maxUse;
+  const auto engines = [](double aUsed, std::uint64_t aCapacity) {
+    return aCapacity > 0 ? aUsed / static_cast<double>(aCapacity) : 0.0;
+  };
+  StageNeed need;
+  need.prefill = growth * aDemand.busyPrefillEngines;
+  need.decode = growth * std::max(engines(aDemand.openStreams, aLimits.slots),
+                                  engines(aDemand.streamTokens, aLimits.cacheTokens));
+  return need;
+}
+
+StageSplit
+BalanceScaledSplit(const StageDemand& aDemand,
+                   const EngineLimits& aLimits,
+                   const StageSplit& aPlanned,
+                   std::size_t aMinDecode)
+{
+  const std::size_t engines = aPlanned.prefill + aPlanned.decode;
+  if (engines < 2) {
+    return aPlanned;
+  }
+  constexpr double kShortFactor = (1.0 + kBurstFactor) / 2.0;
+  const StageNeed least = NeededEngines(aDemand, aLimits, { kShortFactor, kUsableBatchShare });
+  const bool prefillShort = static_cast<double>(aPlanned.prefill) < least.prefill;
+  const bool decodeShort = static_cast<double>(aPlanned.decode) < least.decode;
+  // With both short, moving engines helps neither; the lack is one of engines.
+  if (prefillShort == decodeShort) {
+    return aPlanned;
+  }
+  const StageNeed need = NeededEngines(aDemand, aLimits);
+  const auto wanted = static_cast<std::size_t>(
+    std::lround(static_cast<double>(engines) * need.decode / need.Total()));
+  const std::size_t most = engines - 1;
+  const std::size_t decode =
+    std::clamp(wanted, std::min(std::max<std::size_t>(1, aMinDecode), most), most);
+  return { engines - decode, decode };
+}
+
 StageSplit
 CountStages(const FleetSnapshot& aFleet, const core::ServiceName& aService)
 {
@@ -312,8 +350,11 @@
   if (!aDemand.has_value() || !aService.engine.has_value() || engines == 0) {
     return goal;
   }
-  const StageSplit planned = PlanStageSplit(
-    *aDemand, *aService.engine, current, CountEngineZones(aFleet, aService.name), aCosts);
+  const std::size_t minDecode = CountEngineZones(aFleet, aService.name);
+  StageSplit planned = PlanStageSplit(*aDemand, *aService.engine, current, minDecode, aCosts);
+  if (aService.scaling.has_value()) {
+    planned = BalanceScaledSplit(*aDemand, *aService.engine, planned, minDecode);
+  }
   goal.decodeShare = static_cast<double>(planned.decode) / static_cast<double>(engines);
   goal.onlyMissingStages = planned.decode == current.decode;
   return goal;
--- a/tests/src/unit-stage-planner.cpp
+++ b/tests/src/unit-stage-planner.cpp
@@ -210,6 +210,84 @@
   }
 }
 
+// Guards against a fleet that is scaled in and left with the wrong stages: targets are given up
+// without regard to their stage, and new ones may all arrive in the same one.
+TEST_CASE(
+  "a fleet that is scaled keeps both stages in each zone and the split that its demand needs")
+{
+  Service service;
+  service.name = kModels;
+  service.engine = Limits();
+  service.engine->slots = 12;
+  service.scaling = ScalingLimits{};
+  FleetSnapshot fleet;
+  const auto add = [&](const char* aZone, EngineStage aStage, int aCount) {
+    for (int engine = 0; engine < aCount; ++engine) {
+      Target target;
+      target.id = core::TargetId("e" + std::to_string(fleet.targets.size()));
+      target.service = kModels;
+      target.zone = core::ZoneId(aZone);
+      target.stage = aStage;
+      target.startedAt = fleet.targets.size();
+      fleet.targets.emplace(target.id, target);
+    }
+  };
+  const auto plan = [&](const StageDemand& aDemand) {
+    return PlanStages(
+      fleet, kModels, ChooseStageGoal(fleet, service, aDemand, std::nullopt, kCosts));
+  };
+  const auto apply = [&](const std::vector<StageChange>& aChanges) {
+    for (const StageChange& change : aChanges) {
+      fleet.targets.at(change.target.id).stage = change.stage;
+    }
+  };
+  StageDemand demand;
+  demand.promptsPerSecond = 150.0;
+  demand.busyPrefillEngines = 12.0;
+  demand.openStreams = 50.0;
+  SUBCASE("after 140 engines became 50 and most of those left are in one stage")
+  {
+    bool decodeLeft = false;
+    SUBCASE("prefill") {}
+    SUBCASE("decode")
+    {
+      decodeLeft = true;
+    }
+    for (const char* zone : { "a", "b", "c", "d" }) {
+      add(zone, decodeLeft ? EngineStage::kDecode : EngineStage::kPrefill, 11);
+      add(zone, decodeLeft ? EngineStage::kPrefill : EngineStage::kDecode, 1);
+    }
+    apply(plan(demand));
+    const StageSplit split = CountStages(fleet, kModels);
+    const StageNeed need = NeededEngines(demand, *service.engine);
+    CHECK(std::abs(static_cast<double>(split.decode) - 48.0 * need.decode / need.Total()) <= 2.0);
+    for (const double swing : { 0.85, 1.0, 1.15 }) {
+      StageDemand swung = demand;
+      swung.busyPrefillEngines *= swing;
+      swung.openStreams *= 2.0 - swing;
+      CHECK(plan(swung).empty());
+    }
+  }
+  SUBCASE("in zones with one or two engines")
+  {
+    demand.busyPrefillEngines = 0.5;
+    demand.openStreams = 2.0;
+    add("a", EngineStage::kPrefill, 1);
+    add("b", EngineStage::kPrefill, 2);
+    add("c", EngineStage::kDecode, 3);
+    add("d", EngineStage::kPrefill, 1);
+    add("d", EngineStage::kDecode, 1);
+    std::prev(fleet.targets.end())->second.leaving = true;
+    const auto changes = plan(demand);
+    apply(changes);
+    CHECK(changes.size() >= 2);
+    for (const StageChange& change : changes) {
+      CHECK((change.target.zone == core::ZoneId("b") || change.target.zone == core::ZoneId("c")));
+    }
+    CHECK(plan(demand).empty());
+  }
+}
+
 TEST_CASE("the demand of all instances is summed")
 {
   FleetDemand fleet;
