Check the keys of workspaces and name the workspace to targets

Configurations with tenants had no effect: requests ran without a key, and the key and a workspace that the caller chose itself reached the targets.

A request's key is now checked once, after its route is found, against the configuration's keys (one hash lookup). Every attempt states the workspace; the caller's Authorization and X-Tenant-Id are not forwarded. A workspace's priority takes precedence over the route's. The digest of repeated requests has the workspace in place of the credentials.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/workspaces/key_table.hpp>
 
 #include "control.hpp"
 #include "directory_wire.hpp"
@@ -49,6 +50,7 @@
       this->settings.zone
     }
   {
+    this->path.revocationBound = aSettings.revocationBound;
     this->path.quarantine = serving::RequestQuarantine(aOptions.quarantine);
     this->path.retryOptions.retriesPerRequest = aSettings.retriesPerRequest * kUsedBudgetFraction;
     this->UpdateRetryBudget(0);
@@ -69,6 +71,7 @@
   Task<void> DrainAndStop();
   void ApplyUpdate(serving::ControlUpdate aUpdate);
   void UpdateRetryBudget(std::size_t aPeers);
+  void CountWorkspaces();
 
   static serving::PoolOptions TargetPoolOptions() { return {}; }
 
@@ -127,7 +130,11 @@
       aUpdate.fleet->targetsPosition > this->path.fleet->targetsPosition) {
     this->metrics.Count("store_changes_total", aUpdate.announce ? "store" : "peer");
   }
+  const bool newConfig = aUpdate.fleet->config != this->path.fleet->config;
   this->path.fleet = std::move(aUpdate.fleet);
+  if (newConfig) {
+    this->CountWorkspaces();
+  }
   this->path.confirmedAt = aUpdate.confirmedAt;
   for (const serving::TargetProcess& process : aUpdate.leaving) {
     this->path.notices.RecordLeaving(process, this->clock.Now());
@@ -155,6 +162,13 @@
   }
 }
 
+void
+Gateway::CountWorkspaces()
+{
+  const auto& keys = this->path.fleet->config->workspaces;
+  this->metrics.Set("workspaces", keys == nullptr ? 0 : keys->Size());
+}
+
 // The limit on retries applies to all instances together, so each gets an equal share.
 void
 Gateway::UpdateRetryBudget(std::size_t aPeers)
--- a/include/plantainslip/serving/target_protocol.hpp
+++ b/include/plantainslip/serving/target_protocol.hpp
@@ -89,6 +89,8 @@
   std::optional<net::Address> fetchFrom;
   /// @brief Id of the last event that the caller has received; empty at the first attempt.
   std::string lastEventId;
+  /// @brief Workspace that the request belongs to; empty for none.
+  core::WorkspaceId workspace;
 };
 
 /// @brief Fields of a response's head that the request path uses.
@@ -128,6 +130,10 @@
   /// @brief Returns whether only the system may set a header field; a caller's is not forwarded.
   virtual bool IsReserved(std::string_view aName) const = 0;
 
+  /// @brief Returns whether a header field states the caller's key or workspace. Where requests are
+  ///        checked for a key, a caller's is not forwarded.
+  virtual bool IsCallerIdentity(std::string_view aName) const = 0;
+
   /// @brief Returns the header fields that the system sets on an attempt.
   virtual HeaderList AttemptHeaders(const AttemptPlan& aPlan) const = 0;
 
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -190,6 +190,7 @@
   for (const Header& header : callerHeaders) {
     const bool dropped =
       IsHopByHop(callerHeaders, header.name) || this->context.protocol.IsReserved(header.name) ||
+      (this->request.hidesCallerIdentity && this->context.protocol.IsCallerIdentity(header.name)) ||
       EqualIgnoringCase(header.name, "Content-Length") ||
       (!aPlan.lastEventId.empty() && EqualIgnoringCase(header.name, "Last-Event-ID"));
     if (!dropped) {
@@ -198,6 +199,7 @@
   }
   aPlan.timeLeft = std::max(milliseconds(1), TimeLeft(this->context, this->request));
   aPlan.target = this->target.id;
+  aPlan.workspace = this->request.workspace;
   for (Header& header : this->context.protocol.AttemptHeaders(aPlan)) {
     headers.push_back(std::move(header));
   }
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 
+#include <absl/strings/str_join.h>
+
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
+#include <plantainslip/workspaces/key_table.hpp>
 
 #include "spawn.hpp"
 
@@ -36,6 +39,29 @@
   return aOrigin == ChangeOrigin::kStore ? "store" : "peer";
 }
 
+void
+LogWorkspacesWithoutKeys(const ServingConfig& aConfig)
+{
+  if (aConfig.workspaces == nullptr || aConfig.workspaces->WithoutKeys().empty()) {
+    return;
+  }
+  // Bounds the line's length; the count tells whether there are more.
+  constexpr std::size_t kMaxNames = 10;
+  const std::vector<core::WorkspaceId>& all = aConfig.workspaces->WithoutKeys();
+  const auto named = static_cast<std::ptrdiff_t>(std::min(kMaxNames, all.size()));
+  core::Log(core::LogLevel::kWarning,
+            "workspaces without keys: nobody can use them",
+            { { "version", std::to_string(aConfig.version.Number()) },
+              { "count", std::to_string(all.size()) },
+              { "workspaces",
+                absl::StrJoin(all.begin(),
+                              all.begin() + named,
+                              ",",
+                              [](std::string* aText, const core::WorkspaceId& aWorkspace) {
+                                aText->append(aWorkspace.Text());
+                              }) } });
+}
+
 } // namespace
 
 Control::Control(asio::io_context& aContext,
@@ -193,12 +219,17 @@
       continue;
     }
     this->config = std::make_shared<const ServingConfig>(std::move(*read));
-    core::Log(core::LogLevel::kInfo,
-              "configuration in force",
-              { { "version", std::to_string(this->config->version.Number()) },
-                { "revision", std::to_string(item.position.revision.Number()) },
-                { "routes", std::to_string(this->config->routes.size()) },
-                { "origin", OriginName(aChanges.origin) } });
+    core::Log(
+      core::LogLevel::kInfo,
+      "configuration in force",
+      { { "version", std::to_string(this->config->version.Number()) },
+        { "revision", std::to_string(item.position.revision.Number()) },
+        { "routes", std::to_string(this->config->routes.size()) },
+        { "workspaces",
+          this->config->workspaces == nullptr ? "none"
+                                              : std::to_string(this->config->workspaces->Size()) },
+        { "origin", OriginName(aChanges.origin) } });
+    LogWorkspacesWithoutKeys(*this->config);
     this->PublishUpdate(aChanges.origin == ChangeOrigin::kStore);
   }
 }
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -82,6 +82,10 @@
   std::shared_ptr<const FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
   /// @brief When the store last confirmed that the snapshot is the newest.
   core::MonotonicTime confirmedAt = {};
+  /// @brief Age of that confirmation from which requests that need a key are refused, as the key
+  /// may
+  ///        have been revoked; absent if the last known keys go on being accepted.
+  std::optional<milliseconds> revocationBound = {};
   /// @brief Time of the stop signal and latest end of the process.
   struct Stopping
   {
@@ -110,6 +114,12 @@
     }
   }
 
+  /// @brief Returns the time since the store last confirmed that the snapshot is the newest.
+  milliseconds ConfirmationAge() const
+  {
+    return std::chrono::duration_cast<milliseconds>(this->clock.Now() - this->confirmedAt);
+  }
+
   /// @brief Returns the current input for placement decisions.
   PlacementView View() const
   {
@@ -191,6 +201,11 @@
   RequestDigest digest = {};
   /// @brief What the quarantine knows the request by.
   TraitSet traits = {};
+  /// @brief Workspace that the request belongs to; empty if it belongs to none.
+  core::WorkspaceId workspace = {};
+  /// @brief Whether the configuration has workspaces, so that the caller's key and a workspace that
+  ///        it states are not forwarded.
+  bool hidesCallerIdentity = false;
 };
 
 /// @brief Returns the targets that a request must not be sent to again: tried or unreachable.
--- a/src/serving/request_digest.cpp
+++ b/src/serving/request_digest.cpp
@@ -21,16 +21,14 @@
 DigestRequest(std::string_view aMethod,
               std::string_view aTarget,
               const HeaderList& aHeaders,
+              std::string_view aCaller,
               std::string_view aBody)
 {
-  const auto fieldOrEmpty = [&](std::string_view aName) {
-    const std::string* const value = FindHeader(aHeaders, aName);
-    return value == nullptr ? std::string() : *value;
-  };
+  const std::string* const host = FindHeader(aHeaders, "Host");
   std::uint64_t hash = AddText(aMethod, 0);
   hash = AddText(aTarget, hash);
-  hash = AddText(absl::AsciiStrToLower(fieldOrEmpty("Host")), hash);
-  hash = AddText(fieldOrEmpty("Authorization"), hash);
+  hash = AddText(host == nullptr ? std::string() : absl::AsciiStrToLower(*host), hash);
+  hash = AddText(aCaller, hash);
   return RequestDigest(AddText(aBody, hash));
 }
 
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -8,6 +8,7 @@
 #include <plantainslip/core/log.hpp>
 
 #include <plantainslip/serving/admission_rule.hpp>
+#include <plantainslip/serving/key_check.hpp>
 
 #include "response_relay.hpp"
 
@@ -15,6 +16,7 @@
 
 namespace {
 
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -28,9 +30,6 @@
 constexpr milliseconds kRetryAfterEngineFailure{ 30 };
 /// The next connection goes to another instance, which can serve immediately.
 constexpr milliseconds kRetryAfterStop{ 20 };
-/// Once the store's last confirmation is older than this, an unknown route may be new and gets 503
-/// instead of 404.
-constexpr milliseconds kConfirmationLifetime{ 2'500 };
 /// From this number of unreachable targets on, another target needs a retry; without one the
 /// request is refused.
 constexpr std::size_t kMaxUnreachable = 3;
@@ -41,8 +40,8 @@
 Task<void>
 RefuseUnrouted(PathContext& aContext, const CallerRequest& aRequest, AnswerWriter& aWriter)
 {
-  const bool routesConfirmed = aContext.fleet->config != nullptr &&
-                               aContext.clock.Now() - aContext.confirmedAt <= kConfirmationLifetime;
+  const bool routesConfirmed =
+    aContext.fleet->config != nullptr && aContext.ConfirmationAge() <= kConfirmationLifetime;
   aContext.metrics.Count("unrouted_total",
                          routesConfirmed ? "no_route" : "configuration_unconfirmed");
   HeaderList headers;
@@ -123,6 +122,7 @@
     "request ended",
     { { "request", aRequest.info.id.Text() },
       { "route", aRequest.route.name },
+      { "workspace", aRequest.workspace.Text() },
       { "kind", std::string(KindName(aRequest.route.kind)) },
       { "status", std::to_string(aStatus) },
       { "reason", aReason },
@@ -297,6 +297,47 @@
   }
 }
 
+namespace {
+
+// Applies the decision about a request's key to the request.
+void
+SetCallerIdentity(PathRequest& aRequest, const KeyDecision& aDecision)
+{
+  aRequest.hidesCallerIdentity = aDecision.outcome != KeyOutcome::kNoWorkspaces;
+  std::string caller;
+  if (aDecision.workspace != nullptr) {
+    aRequest.workspace = aDecision.workspace->id;
+    aRequest.route.rank = aDecision.workspace->rank.value_or(aRequest.route.rank);
+    caller = aRequest.workspace.Text();
+  } else if (!aRequest.hidesCallerIdentity) {
+    const std::string* const credentials = FindHeader(aRequest.caller.headers, "Authorization");
+    caller = credentials == nullptr ? std::string() : *credentials;
+  }
+  const CallerRequest& received = aRequest.caller;
+  aRequest.digest =
+    DigestRequest(received.method, received.target, received.headers, caller, received.body);
+  aRequest.traits = TraitsOf(aRequest.digest, aRequest.info.prompt);
+}
+
+Task<void>
+RefuseKey(PathContext& aContext, PathRequest& aRequest, const KeyDecision& aDecision)
+{
+  std::string reason(aDecision.reason);
+  if (aDecision.outcome == KeyOutcome::kUnconfirmed) {
+    co_await Refuse(
+      aContext, aRequest, kUnavailable, std::move(reason), milliseconds(kRetryAfterOutage));
+    co_return;
+  }
+  LogRequestEnd(aContext, aRequest, kUnauthorized, reason);
+  aContext.metrics.Count("unauthorized_total", reason);
+  HeaderList headers;
+  headers.push_back({ "WWW-Authenticate", "Bearer" });
+  std::string empty;
+  co_await aRequest.writer.WriteWhole(kUnauthorized, std::move(headers), std::move(empty));
+}
+
+} // namespace
+
 Task<void>
 ServeRequest(PathContext& aContext,
              const CallerRequest& aRequest,
@@ -322,9 +363,14 @@
                        aRequest.arrival + timeLimit,
                        {},
                        {} };
-  request.digest = DigestRequest(aRequest.method, aRequest.target, aRequest.headers, aRequest.body);
-  request.traits = TraitsOf(request.digest, request.info.prompt);
+  const KeyDecision keyDecision = CheckKey(
+    *config, *route, aRequest.headers, aContext.ConfirmationAge(), aContext.revocationBound);
+  SetCallerIdentity(request, keyDecision);
   aContext.metrics.Count("requests_total", route->name);
+  if (!keyDecision.reason.empty()) {
+    co_await RefuseKey(aContext, request, keyDecision);
+    co_return;
+  }
   if (service == nullptr) {
     std::string reason = "no_service";
     co_await Refuse(aContext, request, kUnavailable, std::move(reason), kRetryAfterOutage);
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -238,7 +238,7 @@
   for (const auto& [name, route] : this->addedRoutes) {
     routes.push_back(json::parse(route));
   }
-  const json config = {
+  json config = {
     { "version", aVersion },
     { "routes", std::move(routes) },
     { "services",
@@ -252,9 +252,18 @@
         { "headerTimeoutMs", 3'000 },
         { "idleTimeoutMs", 15'000 } } }
   };
+  if (!this->workspaces.empty()) {
+    config["tenants"] = json::parse(this->workspaces);
+  }
   this->store->Put("op/config", config.dump());
 }
 
+void
+WireFleet::SetWorkspaces(const json& aWorkspaces)
+{
+  this->workspaces = aWorkspaces.is_null() ? std::string() : aWorkspaces.dump();
+}
+
 void
 WireFleet::AddRoute(const std::string& aName, const json& aRoute)
 {
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -77,6 +77,10 @@
   /// @param aRoute  fields that differ from those of `/pay/`, in the platform's names
   void AddRoute(const std::string& aName, const nlohmann::json& aRoute);
 
+  /// @brief Sets the workspaces of all later configurations.
+  /// @param aWorkspaces  list in the platform's format, or null for none
+  void SetWorkspaces(const nlohmann::json& aWorkspaces);
+
   /// @brief Starts an instance of the gateway.
   /// @param aAwaitReady  whether to wait until it is ready
   ChildProcess& StartGateway(bool aAwaitReady = true);
@@ -137,6 +141,8 @@
   std::string callerVersion = "1.1";
   /// @brief Added routes by name, as JSON.
   std::map<std::string, std::string> addedRoutes;
+  /// @brief Workspaces as JSON; empty for none.
+  std::string workspaces;
   std::jthread thread;
 };
 
--- a/tests/src/unit-request-digest.cpp
+++ b/tests/src/unit-request-digest.cpp
@@ -9,28 +9,25 @@
 TEST_CASE("the digest of a request tells its attempts from other requests")
 {
   const HeaderList headers = { { "Host", "h.example" }, { "X-Request-Id", "1" } };
-  const RequestDigest digest = DigestRequest("POST", "/pay/x", headers, "coins");
+  const RequestDigest digest = DigestRequest("POST", "/pay/x", headers, "", "coins");
   SUBCASE("an attempt has another id, and other fields that only concern it")
   {
     const HeaderList again = { { "X-Deadline-Ms", "900" },
                                { "host", "H.example" },
                                { "X-Request-Id", "2" } };
-    CHECK(DigestRequest("POST", "/pay/x", again, "coins") == digest);
+    CHECK(DigestRequest("POST", "/pay/x", again, "", "coins") == digest);
   }
-  SUBCASE("another request differs in method, path, query, body, host or credentials")
+  SUBCASE("another request differs in method, path, query, body, host or caller")
   {
-    CHECK(DigestRequest("PUT", "/pay/x", headers, "coins") != digest);
-    CHECK(DigestRequest("POST", "/pay/y", headers, "coins") != digest);
-    CHECK(DigestRequest("POST", "/pay/x?page=2", headers, "coins") != digest);
-    CHECK(DigestRequest("POST", "/pay/x", headers, "notes") != digest);
-    CHECK(DigestRequest("POST", "/pay/", headers, "xcoins") != digest);
-    CHECK(DigestRequest("POST", "/pay/x", { { "Host", "other.example" } }, "coins") != digest);
-    HeaderList caller = headers;
-    caller.push_back({ "Authorization", "Bearer a" });
-    const RequestDigest ofCaller = DigestRequest("POST", "/pay/x", caller, "coins");
+    CHECK(DigestRequest("PUT", "/pay/x", headers, "", "coins") != digest);
+    CHECK(DigestRequest("POST", "/pay/y", headers, "", "coins") != digest);
+    CHECK(DigestRequest("POST", "/pay/x?page=2", headers, "", "coins") != digest);
+    CHECK(DigestRequest("POST", "/pay/x", headers, "", "notes") != digest);
+    CHECK(DigestRequest("POST", "/pay/", headers, "", "xcoins") != digest);
+    CHECK(DigestRequest("POST", "/pay/x", { { "Host", "other.example" } }, "", "coins") != digest);
+    const RequestDigest ofCaller = DigestRequest("POST", "/pay/x", headers, "Bearer a", "coins");
     CHECK(ofCaller != digest);
-    caller.back().value = "Bearer A";
-    CHECK(DigestRequest("POST", "/pay/x", caller, "coins") != ofCaller);
+    CHECK(DigestRequest("POST", "/pay/x", headers, "Bearer A", "coins") != ofCaller);
   }
 }
 
