--- a/src/serving/path_metrics.cpp
+++ b/src/serving/path_metrics.cpp
@@ -13,7 +13,7 @@
 PathMetrics::Set(const std::string& aName, const std::string& aLabel, std::uint64_t aValue)
 {
   const std::scoped_lock lock(this->mutex);
-  this->labelledGauges[aName][aLabel] = aValue;
+  this->gauges[aName][aLabel] = aValue;
 }
 
 void
@@ -22,7 +22,11 @@
   for (const auto& [name, labels] : aValues) {
     aText.append("# TYPE plantainslip_").append(name).append(" ").append(aType).append("\n");
     for (const auto& [label, value] : labels) {
-      aText.append("plantainslip_").append(name).append("{kind=\"").append(label).append("\"} ");
+      aText.append("plantainslip_").append(name);
+      if (!label.empty()) {
+        aText.append("{kind=\"").append(label).append("\"}");
+      }
+      aText.append(" ");
       aText.append(std::to_string(value)).append("\n");
     }
   }
@@ -36,7 +40,7 @@
                      this->prefillCall.Format("plantainslip_prefill_call_seconds");
   const std::scoped_lock lock(this->mutex);
   AppendValues(text, this->counters, "counter");
-  AppendValues(text, this->labelledGauges, "gauge");
+  AppendValues(text, this->gauges, "gauge");
   return text;
 }
 
--- a/src/serving/path_metrics.hpp
+++ b/src/serving/path_metrics.hpp
@@ -21,7 +21,7 @@
 
   /// @brief Sets a gauge. Logarithmic in the number of gauges.
   /// @param aName  name of the metric without its prefix, such as `scaling_desired`
-  /// @param aLabel  value of the label `kind`
+  /// @param aLabel  value of the label `kind`; empty for a gauge without it
   void Set(const std::string& aName, const std::string& aLabel, std::uint64_t aValue);
 
   /// @brief Formats all metrics in the Prometheus text format.
@@ -38,7 +38,7 @@
 
   mutable std::mutex mutex;
   Values counters;
-  Values labelledGauges;
+  Values gauges;
 };
 
 } // namespace plantainslip::serving
