Reuse connections to targets: affinity among equal targets, stated idle times

Each instance spread its requests over all engines, so a connection was idle for longer than it could be reused: one new connection for two requests, one for ten wanted.

- Among targets that cost about the same, placement prefers one with a reusable connection, and then always the same ones for an instance.
For decode, loads that differ by at most two requests are equal, as peers report them with a delay; farther engines are not preferred.
- A connection is kept until a second before the time that its target states.
- Requests that may be repeated use any connection that is kept; one lost on a connection that was idle for over a second, without a byte of a response, is sent once more to the same target for one retry of the budget.
Requests that run once use connections idle for up to 1 s, and for longer once repeatable requests have shown that it is safe; they are never sent again.
- Placement looks up each load once per target and request.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -51,6 +51,7 @@
   {
     this->path.quarantine = serving::RequestQuarantine(aOptions.quarantine);
     this->path.retryOptions.retriesPerRequest = aSettings.retriesPerRequest * kUsedBudgetFraction;
+    this->path.affinityKey = std::hash<std::string>()(aSettings.instance.Text());
     this->UpdateRetryBudget(0);
   }
 
@@ -70,7 +71,12 @@
   void ApplyUpdate(serving::ControlUpdate aUpdate);
   void UpdateRetryBudget(std::size_t aPeers);
 
-  static serving::PoolOptions TargetPoolOptions() { return {}; }
+  static serving::PoolOptions TargetPoolOptions()
+  {
+    serving::PoolOptions options;
+    options.statedLifetime = std::chrono::minutes(1);
+    return options;
+  }
 
   wire::Settings settings;
   GatewayOptions ownOptions;
--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -4,6 +4,7 @@
 #include <span>
 #include <vector>
 
+#include <plantainslip/serving/connection_view.hpp>
 #include <plantainslip/serving/load_tracker.hpp>
 #include <plantainslip/serving/prefill_model.hpp>
 #include <plantainslip/serving/target_health.hpp>
@@ -25,6 +26,13 @@
   const TargetLimits& limits;
   core::ZoneId ownZone;
   core::MonotonicTime now;
+  /// @brief Connections of this instance; null if they are not considered.
+  const ConnectionView* connections = nullptr;
+  /// @brief How long a connection may have been idle to carry the request.
+  milliseconds maxIdle{ 0 };
+  /// @brief Identifies this instance: each prefers other targets among those that are equally good,
+  ///        so that it uses few of them and its connections are reused.
+  std::uint64_t affinityKey = 0;
 };
 
 /// @brief Targets that a request was already sent to or could not reach.
--- a/src/serving/attempt.cpp
+++ b/src/serving/attempt.cpp
@@ -5,6 +5,7 @@
 #include <plantainslip/serving/event_stream.hpp>
 
 #include "http_head.hpp"
+#include "request_path.hpp"
 #include "simple_call.hpp"
 #include "spawn.hpp"
 
@@ -14,10 +15,8 @@
 
 /// Max size of a response that is read whole before it is forwarded.
 constexpr std::size_t kMaxBufferedBodyBytes = 8'388'608;
-/// A peer may have dropped an idle connection without notice. Requests that must not be sent twice
-/// therefore use only connections that were in use shortly before.
-constexpr milliseconds kMaxIdleIdempotent{ 4'000 };
-constexpr milliseconds kMaxIdleAtMostOnce{ 1'000 };
+/// Requests that may be sent again use any connection that the pool still keeps.
+constexpr milliseconds kMaxIdleRepeatable{ 60'000 };
 /// A target that is busy with a long step still sends its report within this time.
 constexpr milliseconds kReportTimeout{ 500 };
 /// Excludes all idle connections.
@@ -67,6 +66,8 @@
   core::MonotonicTime at;
   /// @brief Whether an attempt of the same request was lost before.
   bool isRepeat = false;
+  /// @brief How long the connection had been idle, if nothing was received on a reused one.
+  std::optional<milliseconds> idleFor = {};
 };
 
 // Tells the end of a target's process, which is evidence against the request, from the loss of one
@@ -85,6 +86,9 @@
               { "request", aLost.request.Text() },
               { "digest", FormatTraits({ Trait::OfRequest(aLost.digest) }) },
               { "parts", FormatParts(aLost.prompt) } });
+  if (!ended && aLost.idleFor.has_value()) {
+    aContext.idleReuse.Record(aLost.target.service, *aLost.idleFor, true);
+  }
   if (ended) {
     const RequestQuarantine::Crash crash{ aLost.target.id, aLost.at, aLost.isRepeat };
     aContext.quarantine.RecordCrash(crash, aLost.traits, aContext.clock.Now());
@@ -164,6 +168,22 @@
   return std::nullopt;
 }
 
+bool
+MayRepeat(const PathRequest& aRequest, AttemptStep aStep)
+{
+  const Route& route = aRequest.route;
+  const bool isResumable = route.kind == RequestKind::kStream && route.resumable;
+  return aStep == AttemptStep::kPrefill || route.kind == RequestKind::kIdempotent ||
+         (isResumable && !aRequest.writer.HasStarted());
+}
+
+milliseconds
+MaxIdleFor(const PathContext& aContext, const PathRequest& aRequest, AttemptStep aStep)
+{
+  return MayRepeat(aRequest, aStep) ? kMaxIdleRepeatable
+                                    : aContext.idleReuse.Limit(aRequest.service.name);
+}
+
 milliseconds
 TimeLeft(const PathContext& aContext, const PathRequest& aRequest)
 {
@@ -235,7 +255,8 @@
                     this->request.info.prompt,
                     this->request.traits,
                     this->context.clock.Now(),
-                    this->request.lostConnections > 0 };
+                    this->request.lostConnections > 0,
+                    this->call->HasReceived() ? std::nullopt : this->idleFor };
   ++this->request.lostConnections;
   Spawn(this->context.executor, "check target", [&context = this->context, lost] {
     return CheckTarget(context, lost);
@@ -347,9 +368,62 @@
     // the response to this attempt.
     return kNewConnection;
   }
-  const bool idempotent =
-    this->request.route.kind == RequestKind::kIdempotent || aStep == AttemptStep::kPrefill;
-  return idempotent ? kMaxIdleIdempotent : kMaxIdleAtMostOnce;
+  return MaxIdleFor(this->context, this->request, aStep);
+}
+
+Task<absl::StatusOr<ResponseHead>>
+AttemptCall::SendOn(std::unique_ptr<OutgoingConnection> aConnection,
+                    const std::string& aRequestHead)
+{
+  this->idleFor = aConnection->reused ? std::optional(aConnection->idleFor) : std::nullopt;
+  this->context.metrics.Count("target_connections_total",
+                              aConnection->reused ? "reused" : "opened");
+  this->call = std::make_unique<TargetCall>(std::move(aConnection),
+                                            this->request.info.id.Text(),
+                                            this->context.protocol.RequestIdHeader(),
+                                            this->cancellation);
+  std::string requestHead = aRequestHead;
+  const absl::Status sent =
+    co_await this->call->Send(std::move(requestHead), this->request.caller.body);
+  this->end.requestSent = sent.ok();
+  // A target may respond before it has read the whole request and then close the connection, so the
+  // response is read even if sending failed.
+  auto head = co_await this->call->ReadHead(this->request.caller.method == "HEAD");
+  if (head.ok() && this->idleFor.has_value()) {
+    this->context.idleReuse.Record(this->target.service, *this->idleFor, false);
+  }
+  co_return head;
+}
+
+Task<absl::StatusOr<ResponseHead>>
+AttemptCall::Exchange(std::unique_ptr<OutgoingConnection> aConnection, std::string aRequestHead)
+{
+  auto head = co_await this->SendOn(std::move(aConnection), aRequestHead);
+  // A connection that was in use shortly before is lost because of the target, not of its idleness.
+  const bool isStale = !head.ok() && core::IsError(head.status(), errors::kConnectionLost) &&
+                       this->idleFor.value_or(milliseconds(0)) > IdleReuse::kInitialLimit &&
+                       !this->call->HasReceived();
+  if (!isStale || !MayRepeat(this->request, this->step) ||
+      !TryTakeRetry(this->context, this->request)) {
+    co_return head;
+  }
+  // A target that has ended refuses the connection; the request may then be the cause.
+  auto connection =
+    co_await this->context.pool.Acquire(this->target.address, kNewConnection, this->cancellation);
+  if (!connection.ok()) {
+    co_return head;
+  }
+  this->context.idleReuse.Record(this->target.service, *this->idleFor, true);
+  this->context.metrics.Count("stale_connections_total", this->target.service.Text());
+  core::Log(core::LogLevel::kInfo,
+            "request sent again: its connection had been dropped while idle",
+            { { "request", this->request.info.id.Text() },
+              { "target", this->target.id.Text() },
+              { "step", std::string(StepName(this->step)) },
+              { "idle_ms", std::to_string(this->idleFor->count()) } });
+  this->context.pool.CloseIdle(this->target.address);
+  head = co_await this->SendOn(std::move(*connection), aRequestHead);
+  co_return head;
 }
 
 bool
@@ -407,23 +481,14 @@
     attempt.detail = "target withdrawn";
     co_return attempt;
   }
-  this->call = std::make_unique<TargetCall>(std::move(*connection),
-                                            this->request.info.id.Text(),
-                                            this->context.protocol.RequestIdHeader(),
-                                            this->cancellation);
   this->step = aPlan.step;
   const bool runsRequest = aPlan.step != AttemptStep::kPrefill;
   const bool ranBefore = this->request.mayHaveRun;
   this->request.mayHaveRun = ranBefore || runsRequest;
   std::string requestHead = this->BeginSending(aPlan);
-  const absl::Status sent =
-    co_await this->call->Send(std::move(requestHead), this->request.caller.body);
-  this->end.requestSent = sent.ok();
-  // A target may respond before it has read the whole request and then close the connection, so the
-  // response is read even if sending failed.
-  auto head = co_await this->call->ReadHead(this->request.caller.method == "HEAD");
+  auto head = co_await this->Exchange(std::move(*connection), std::move(requestHead));
   if (!head.ok()) {
-    attempt.state = this->ClassifyFailure(sent.ok() ? head.status() : sent);
+    attempt.state = this->ClassifyFailure(head.status());
     attempt.detail = std::string(head.status().message());
     this->CheckTargetAfter(head.status());
     co_return attempt;
--- a/src/serving/attempt.hpp
+++ b/src/serving/attempt.hpp
@@ -83,6 +83,13 @@
   /// @brief Counts the attempt, starts its time, and returns the head of its request.
   std::string BeginSending(AttemptPlan& aPlan);
   milliseconds MaxIdle(AttemptStep aStep) const;
+  /// @brief Sends the request on a connection and reads the head of the response.
+  Task<absl::StatusOr<ResponseHead>> SendOn(std::unique_ptr<OutgoingConnection> aConnection,
+                                            const std::string& aRequestHead);
+  /// @brief Sends the request and, if it may be repeated and was lost on a connection that its
+  ///        target had dropped while it was idle, sends it once more on a new one.
+  Task<absl::StatusOr<ResponseHead>> Exchange(std::unique_ptr<OutgoingConnection> aConnection,
+                                              std::string aRequestHead);
   /// @brief Returns whether the target, chosen before the wait for a connection, is still listed
   ///        and takes this request, which then counts for its rate limit.
   bool ClaimRequest();
@@ -103,6 +110,8 @@
   std::unique_ptr<TimeLimit> limit;
   std::unique_ptr<TargetCall> call;
   AttemptStep step = AttemptStep::kWhole;
+  /// @brief How long the connection had been idle; absent if it is a new one.
+  std::optional<milliseconds> idleFor;
   /// @brief What is known of the response's end so far.
   net::ResponseEnd end;
   /// @brief Whether RecordAnswer() was called.
@@ -137,6 +146,14 @@
 bool
 IsNotRunStatus(int aStatus);
 
+/// @brief Returns whether a request may be sent again although a target may have received it.
+bool
+MayRepeat(const PathRequest& aRequest, AttemptStep aStep);
+
+/// @brief Returns for how long a connection may have been idle to carry a request.
+milliseconds
+MaxIdleFor(const PathContext& aContext, const PathRequest& aRequest, AttemptStep aStep);
+
 /// @brief Returns the time until a request's deadline; negative once it has passed.
 milliseconds
 TimeLeft(const PathContext& aContext, const PathRequest& aRequest);
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -62,6 +62,7 @@
   };
 
   milliseconds Elapsed() const;
+  PlacementView View(AttemptStep aStep) const;
   std::optional<PrefillPlacement> ChoosePrefillEngine() const;
   Task<bool> SendPrefill(const PrefillPlacement& aPlace,
                          const TargetLoad& aEngineLoad,
@@ -144,10 +145,18 @@
   }
 }
 
+PlacementView
+Completion::View(AttemptStep aStep) const
+{
+  PlacementView view = this->context.View();
+  view.maxIdle = MaxIdleFor(this->context, this->request, aStep);
+  return view;
+}
+
 std::optional<PrefillPlacement>
 Completion::ChoosePrefillEngine() const
 {
-  return ChoosePrefill(this->context.View(),
+  return ChoosePrefill(this->View(AttemptStep::kPrefill),
                        this->request.service.name,
                        this->prompt,
                        this->request.route.objective - this->Elapsed(),
@@ -297,7 +306,7 @@
   const core::ZoneId& zone =
     this->cachedPrompt.has_value() ? this->cachedPrompt->engine.zone : this->context.ownZone;
   return ChooseDecode(
-    this->context.View(), this->request.service.name, zone, this->triedDecodeEngines);
+    this->View(AttemptStep::kDecode), this->request.service.name, zone, this->triedDecodeEngines);
 }
 
 AttemptPlan
--- a/src/serving/connection_pool.cpp
+++ b/src/serving/connection_pool.cpp
@@ -53,18 +53,33 @@
     const bool usable = now < candidate.expiresAt && now - candidate.idleSince <= aMaxIdle;
     if (usable && HasNoPendingBytes(candidate.connection->socket)) {
       candidate.connection->reused = true;
+      candidate.connection->idleFor =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - candidate.idleSince);
       return std::move(candidate.connection);
     }
   }
   return nullptr;
 }
 
+bool
+ConnectionPool::HasIdle(const net::Address& aAddress, std::chrono::milliseconds aMaxIdle) const
+{
+  const auto found = this->idle.find(aAddress);
+  if (found == this->idle.end() || found->second.empty()) {
+    return false;
+  }
+  const core::MonotonicTime now = this->clock.Now();
+  const IdleConnection& newest = found->second.back();
+  return now < newest.expiresAt && now - newest.idleSince <= aMaxIdle;
+}
+
 Task<ConnectionPool::ConnectResult>
 ConnectionPool::Connect(const net::Address& aAddress, Cancellation& aCancellation)
 {
   ConnectResult result;
   auto connection = std::make_unique<OutgoingConnection>(this->executor);
   Tcp::socket& socket = connection->socket;
+  const core::MonotonicTime startedAt = this->clock.Now();
   const Tcp::endpoint endpoint(asio::ip::make_address_v4(aAddress.host, result.error),
                                aAddress.port);
   const auto close = [&socket] {
@@ -79,6 +94,9 @@
   result.timedOut = limit.Expired();
   if (!result.error && !result.timedOut && !aCancellation.Reason().has_value()) {
     SetSocketOptions(socket, this->options.unacknowledgedTimeout);
+    constexpr double kSmoothingFactor = 0.1;
+    const std::chrono::duration<double, std::milli> took = this->clock.Now() - startedAt;
+    this->connectMs += kSmoothingFactor * (took.count() - this->connectMs);
     result.connection = std::move(connection);
   }
   co_return result;
@@ -115,20 +133,34 @@
   co_return !connected.timedOut && connected.error == asio::error::connection_refused;
 }
 
+// A request must not be sent just as the peer closes the connection. Peers state whole seconds, so
+// the margin is one second, or half the time if that is shorter.
+std::chrono::milliseconds
+ConnectionPool::Lifetime(std::chrono::milliseconds aStated) const
+{
+  if (aStated.count() <= 0) {
+    return this->options.idleLifetime;
+  }
+  if (this->options.statedLifetime.count() == 0) {
+    return std::min(aStated / 2, this->options.idleLifetime);
+  }
+  constexpr std::chrono::milliseconds kMargin{ 1'000 };
+  return std::min(std::max(aStated / 2, aStated - kMargin), this->options.statedLifetime);
+}
+
 void
 ConnectionPool::Release(const net::Address& aAddress,
                         std::unique_ptr<OutgoingConnection> aConnection,
                         std::chrono::milliseconds aLifetime)
 {
   auto& connections = this->idle[aAddress];
-  if (connections.size() >= this->options.maxIdlePerAddress) {
+  const core::MonotonicTime now = this->clock.Now();
+  while (!connections.empty() && (connections.front().expiresAt <= now ||
+                                  connections.size() >= this->options.maxIdlePerAddress)) {
     connections.pop_front();
   }
-  // Half of the stated time, so that no request is sent just as the peer closes the connection.
-  const auto lifetime = aLifetime.count() > 0 ? std::min(aLifetime / 2, this->options.idleLifetime)
-                                              : this->options.idleLifetime;
-  const core::MonotonicTime now = this->clock.Now();
-  connections.push_back(IdleConnection{ std::move(aConnection), now, now + lifetime });
+  connections.push_back(
+    IdleConnection{ std::move(aConnection), now, now + this->Lifetime(aLifetime) });
 }
 
 } // namespace plantainslip::serving
--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -8,7 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <plantainslip/core/clock.hpp>
-#include <plantainslip/net/address.hpp>
+#include <plantainslip/serving/connection_view.hpp>
 
 #include "cancellation.hpp"
 
@@ -31,6 +31,8 @@
   boost::beast::flat_buffer buffer{ kMaxBufferedBytes };
   /// @brief Whether it has carried a response before.
   bool reused = false;
+  /// @brief How long it had been idle before it was reused.
+  std::chrono::milliseconds idleFor{ 0 };
 };
 
 /// @brief Limits on the connections of a pool.
@@ -42,12 +44,15 @@
   std::size_t maxIdlePerAddress = 8;
   /// @brief Max time that a connection is kept idle; half the time its peer states, if shorter.
   std::chrono::milliseconds idleLifetime{ 4'000 };
+  /// @brief Max time that a connection is kept idle if its peer states that it keeps it for longer;
+  ///        zero to keep it no longer than #idleLifetime.
+  std::chrono::milliseconds statedLifetime{ 0 };
   /// @brief Time after which unacknowledged data closes the connection (TCP_USER_TIMEOUT).
   std::chrono::milliseconds unacknowledgedTimeout{ 1'500 };
 };
 
 /// @brief Keeps idle connections for reuse. Used on one thread only.
-class ConnectionPool
+class ConnectionPool : public ConnectionView
 {
 public:
   ConnectionPool(asio::any_io_executor aExecutor, PoolOptions aOptions, const core::Clock& aClock)
@@ -76,6 +81,10 @@
   /// @brief Closes all idle connections to an address; after a failed call they may be dead too.
   void CloseIdle(const net::Address& aAddress) { this->idle.erase(aAddress); }
 
+  bool HasIdle(const net::Address& aAddress, std::chrono::milliseconds aMaxIdle) const override;
+
+  double ConnectMs() const override { return this->connectMs; }
+
 private:
   struct IdleConnection
   {
@@ -95,12 +104,15 @@
 
   std::unique_ptr<OutgoingConnection> AcquireIdle(const net::Address& aAddress,
                                                   std::chrono::milliseconds aMaxIdle);
+  std::chrono::milliseconds Lifetime(std::chrono::milliseconds aStated) const;
   Task<ConnectResult> Connect(const net::Address& aAddress, Cancellation& aCancellation);
 
   asio::any_io_executor executor;
   PoolOptions options;
   const core::Clock& clock;
   std::map<net::Address, std::deque<IdleConnection>> idle;
+  /// @brief Moving average of the time in which a connection is made; starts at a local round trip.
+  double connectMs = 1.0;
 };
 
 } // namespace plantainslip::serving
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -8,6 +8,7 @@
 
 #include <plantainslip/observe/latency_histogram.hpp>
 #include <plantainslip/retries/retry_policy.hpp>
+#include <plantainslip/serving/idle_reuse.hpp>
 #include <plantainslip/serving/placement.hpp>
 #include <plantainslip/serving/request_quarantine.hpp>
 #include <plantainslip/serving/stage_demand.hpp>
@@ -77,6 +78,9 @@
   PrefillModel prefill = {};
   DemandMeter demand = {};
   RequestQuarantine quarantine = RequestQuarantine();
+  IdleReuse idleReuse = {};
+  /// @brief Identifies this instance in the choice among equal targets.
+  std::uint64_t affinityKey = 0;
   std::map<core::ServiceName, std::unique_ptr<retries::RetryBudget>> budgets = {};
   /// @brief Latest snapshot published by the control thread; never null.
   std::shared_ptr<const FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
@@ -113,8 +117,11 @@
   /// @brief Returns the current input for placement decisions.
   PlacementView View() const
   {
-    return { *this->fleet,  this->loads,  this->health,  this->prefill,
-             this->notices, this->limits, this->ownZone, this->clock.Now() };
+    PlacementView view{ *this->fleet,  this->loads,  this->health,  this->prefill,
+                        this->notices, this->limits, this->ownZone, this->clock.Now() };
+    view.connections = &this->pool;
+    view.affinityKey = this->affinityKey;
+    return view;
   }
 };
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <limits>
 #include <utility>
 
 #include <plantainslip/routing/rendezvous.hpp>
@@ -28,23 +27,44 @@
 constexpr double kFailureRequests = 12.0;
 /// Load added for the round trip to another zone, in requests; for plain services.
 constexpr double kCrossZoneRequests = 0.6;
+/// Cost of a new connection, in requests; about half of a round trip to another zone.
+constexpr double kConnectRequests = 0.3;
+/// Load of a decode engine with all slots taken, as a delay.
+constexpr double kFullBatchMs = 150.0;
+/// Requests by which loads of decode engines are not told apart: peers report them with a delay in
+/// which each engine gets some.
+constexpr double kLoadResolution = 2.0;
 
 using Accepts = std::function<bool(const Target&)>;
 
 // Returns the targets that are accepted, take requests and were not tried; avoided ones only if no
 // others are left.
-std::vector<const Target*>
+/// @brief A target that may be chosen, with its load, which is looked up once.
+struct Candidate
+{
+  const Target* target = nullptr;
+  TargetLoad load;
+  double failureRate = 0.0;
+  double cost = 0.0;
+  /// @brief Part of the cost that is due to the target's zone.
+  double distance = 0.0;
+};
+using Candidates = std::vector<Candidate>;
+
+Candidates
 FindCandidates(const PlacementView& aView, const TriedTargets& aTried, const Accepts& aAccepts)
 {
-  std::vector<const Target*> preferred;
-  std::vector<const Target*> avoided;
+  Candidates preferred;
+  Candidates avoided;
   for (const auto& [id, target] : aView.fleet.targets) {
     const bool tried = std::find(aTried.begin(), aTried.end(), id) != aTried.end();
     if (tried || !aAccepts(target) || aView.notices.IsLeaving(target) ||
         WaitFor(aView, target).count() > 0) {
       continue;
     }
-    (aView.health.IsAvoided(id, aView.now) ? avoided : preferred).push_back(&target);
+    Candidates& list = aView.health.IsAvoided(id, aView.now) ? avoided : preferred;
+    list.push_back(
+      { &target, aView.loads.Total(id, aView.now), aView.health.FailureRate(id, aView.now) });
   }
   return preferred.empty() ? avoided : preferred;
 }
@@ -57,7 +77,7 @@
 };
 
 Homes
-FindHomes(const std::vector<const Target*>& aCandidates, std::uint64_t aKey)
+FindHomes(const Candidates& aCandidates, std::uint64_t aKey)
 {
   Homes homes;
   std::uint64_t firstWeight = 0;
@@ -65,7 +85,8 @@
   if (aKey == 0) {
     return homes;
   }
-  for (const Target* target : aCandidates) {
+  for (const Candidate& candidate : aCandidates) {
+    const Target* const target = candidate.target;
     const std::uint64_t weight = routing::RendezvousWeight(target->id, aKey);
     if (homes.first == nullptr || weight > firstWeight) {
       homes.second = std::exchange(homes.first, target);
@@ -113,22 +134,72 @@
   return &aTarget == aHomes.second ? kSecondHomeMs : kNoHomeMs;
 }
 
+/// @brief Costs that are taken as equal.
+struct CostTolerance
+{
+  /// @brief For a target that is no farther than the cheapest one.
+  double load = 0.0;
+  /// @brief Added for a target to which a connection can be reused: the cost of a new one.
+  double connection = 0.0;
+};
+
+// Returns the cheapest target, or nullptr without candidates. Among those that cost about the same,
+// one with a reusable connection is preferred, and then always the same one for this instance.
 template<typename Cost>
-const Target*
-FindCheapest(const std::vector<const Target*>& aCandidates, const Cost& aCost)
+const Candidate*
+FindCheapest(const PlacementView& aView,
+             Candidates& aCandidates,
+             const CostTolerance& aTolerance,
+             const Cost& aCost)
 {
-  const Target* best = nullptr;
-  double least = std::numeric_limits<double>::infinity();
-  for (const Target* target : aCandidates) {
-    const double cost = aCost(*target);
-    if (cost < least) {
-      least = cost;
-      best = target;
+  const Candidate* cheapest = nullptr;
+  for (Candidate& candidate : aCandidates) {
+    candidate.cost = aCost(candidate) + candidate.distance;
+    if (cheapest == nullptr || candidate.cost < cheapest->cost) {
+      cheapest = &candidate;
+    }
+  }
+  const Candidate* best = nullptr;
+  std::pair<bool, std::uint64_t> highest;
+  for (const Candidate& candidate : aCandidates) {
+    const double tolerance = candidate.distance <= cheapest->distance ? aTolerance.load : 0.0;
+    const double excess = candidate.cost - cheapest->cost - tolerance;
+    if (excess > aTolerance.connection) {
+      continue;
+    }
+    const bool isConnected = aView.connections != nullptr &&
+                             aView.connections->HasIdle(candidate.target->address, aView.maxIdle);
+    if (excess > 0.0 && !isConnected) {
+      continue;
+    }
+    const std::uint64_t weight =
+      aView.affinityKey == 0 ? 0
+                             : routing::RendezvousWeight(candidate.target->id, aView.affinityKey);
+    const std::pair<bool, std::uint64_t> preference(isConnected, weight);
+    if (best == nullptr || preference > highest) {
+      highest = preference;
+      best = &candidate;
     }
   }
   return best;
 }
 
+// Adds the cost of each target that is in another zone than the given one.
+void
+AddDistances(Candidates& aCandidates, const core::ZoneId& aZone, double aCost)
+{
+  for (Candidate& candidate : aCandidates) {
+    candidate.distance += candidate.target->zone == aZone ? 0.0 : aCost;
+  }
+}
+
+// Cost of a new connection, as a delay.
+double
+ConnectMs(const PlacementView& aView)
+{
+  return aView.connections == nullptr ? 0.0 : aView.connections->ConnectMs();
+}
+
 } // namespace
 
 std::optional<PrefillPlacement>
@@ -138,7 +209,7 @@
               milliseconds aSlack,
               const TriedTargets& aTried)
 {
-  const auto candidates = FindCandidates(aView, aTried, [&](const Target& aTarget) {
+  auto candidates = FindCandidates(aView, aTried, [&](const Target& aTarget) {
     return aTarget.service == aService && aTarget.stage == EngineStage::kPrefill;
   });
   const Homes homes = FindHomes(candidates, SharedKey(aPrompt));
@@ -146,29 +217,29 @@
   const auto priorityAt = [&](const core::TargetId& aTarget) {
     return PromptPriority(aSlack - kFirstEventDelay - aView.prefill.Duration(aTarget, tokens));
   };
-  const auto waitAt = [&](const Target& aTarget, std::size_t aPriority) {
-    const TargetLoad load = aView.loads.Total(aTarget.id, aView.now);
-    return aView.prefill.Duration(aTarget.id, load.TokensBefore(aPriority));
+  const auto waitAt = [&](const Candidate& aCandidate, std::size_t aPriority) {
+    return aView.prefill.Duration(aCandidate.target->id, aCandidate.load.TokensBefore(aPriority));
   };
-  // Costs beside the queueing time: less urgent prompts that the engine has begun, and its link.
-  const auto contention = [&](const Target& aTarget) {
-    const TargetLoad load = aView.loads.Total(aTarget.id, aView.now);
-    const double lowerPriorityTokens =
-      load.TokensBehind(priorityAt(aTarget.id)) * kLowerPriorityShare;
-    return static_cast<double>(aView.prefill.Duration(aTarget.id, lowerPriorityTokens).count()) +
-           load.cacheTransfers * kTransferMs;
+  const auto cost = [&](const Candidate& aCandidate) {
+    const Target& target = *aCandidate.target;
+    const std::size_t priority = priorityAt(target.id);
+    const auto work = waitAt(aCandidate, priority) + aView.prefill.Duration(target.id, tokens);
+    // Costs beside the queueing time: less urgent prompts that the engine has begun, and its link.
+    const double lowerPriorityTokens = aCandidate.load.TokensBehind(priority) * kLowerPriorityShare;
+    const double contention =
+      static_cast<double>(aView.prefill.Duration(target.id, lowerPriorityTokens).count()) +
+      aCandidate.load.cacheTransfers * kTransferMs;
+    const double failurePenalty = aCandidate.failureRate * kFailureRequests * kFailureMs;
+    return static_cast<double>(work.count()) + failurePenalty + contention +
+           HomeCost(homes, target);
   };
-  const auto wait = [&](const Target& aTarget) { return waitAt(aTarget, priorityAt(aTarget.id)); };
-  const Target* const best = FindCheapest(candidates, [&](const Target& aTarget) {
-    const auto work = wait(aTarget) + aView.prefill.Duration(aTarget.id, tokens);
-    const double failurePenalty =
-      aView.health.FailureRate(aTarget.id, aView.now) * kFailureRequests * kFailureMs;
-    return static_cast<double>(work.count()) + failurePenalty + contention(aTarget) +
-           (aTarget.zone == aView.ownZone ? 0.0 : kCrossZoneMs) + HomeCost(homes, aTarget);
-  });
-  if (best == nullptr) {
+  AddDistances(candidates, aView.ownZone, kCrossZoneMs);
+  const Candidate* const cheapest =
+    FindCheapest(aView, candidates, { 0.0, ConnectMs(aView) }, cost);
+  if (cheapest == nullptr) {
     return std::nullopt;
   }
+  const Target* const best = cheapest->target;
   PrefillPlacement place;
   place.target = *best;
   const Target* const formerHome = FindFormerHome(aView, aService, homes, SharedKey(aPrompt));
@@ -178,12 +249,12 @@
     place.fetchFrom = source->address;
   }
   place.priority = priorityAt(best->id);
-  place.queueingTime = wait(*best);
+  place.queueingTime = waitAt(*cheapest, place.priority);
   place.prefillTime = aView.prefill.Duration(best->id, tokens);
   if (place.queueingTime + place.prefillTime + kFirstEventDelay > aSlack) {
     // Late in any case: it must not delay prompts that can still be on time.
     place.priority = kPriorityLevels - 1;
-    place.queueingTime = waitAt(*best, place.priority);
+    place.queueingTime = waitAt(*cheapest, place.priority);
   }
   place.tokens = tokens;
   return place;
@@ -195,21 +266,28 @@
              const core::ZoneId& aCacheZone,
              const TriedTargets& aTried)
 {
-  const auto candidates = FindCandidates(aView, aTried, [&](const Target& aTarget) {
+  auto candidates = FindCandidates(aView, aTried, [&](const Target& aTarget) {
     return aTarget.service == aService && aTarget.stage == EngineStage::kDecode;
   });
-  const Target* const best = FindCheapest(candidates, [&](const Target& aTarget) {
-    const TargetLoad load = aView.loads.Total(aTarget.id, aView.now);
+  std::uint64_t slots = 1;
+  for (const Candidate& candidate : candidates) {
+    slots = std::max(slots, candidate.target->slots);
+  }
+  const CostTolerance tolerance{ kLoadResolution * kFullBatchMs / static_cast<double>(slots),
+                                 ConnectMs(aView) };
+  const auto cost = [&](const Candidate& aCandidate) {
+    const Target& target = *aCandidate.target;
+    const TargetLoad& load = aCandidate.load;
     const double utilization =
-      load.requests / static_cast<double>(std::max<std::uint64_t>(1, aTarget.slots));
-    const auto reading = aView.prefill.Duration(aTarget.id, load.TokensBefore(kPriorityLevels - 1));
-    const double failureRate = aView.health.FailureRate(aTarget.id, aView.now);
-    constexpr double kFullBatchMs = 150.0;
-    return (utilization + failureRate) * kFullBatchMs + static_cast<double>(reading.count()) +
-           load.cacheTransfers * kTransferMs + (aTarget.zone == aCacheZone ? 0.0 : kCrossZoneMs) +
-           (aTarget.zone == aView.ownZone ? 0.0 : kCrossZoneMs);
-  });
-  return best == nullptr ? std::nullopt : std::optional<Target>(*best);
+      load.requests / static_cast<double>(std::max<std::uint64_t>(1, target.slots));
+    const auto reading = aView.prefill.Duration(target.id, load.TokensBefore(kPriorityLevels - 1));
+    return (utilization + aCandidate.failureRate) * kFullBatchMs +
+           static_cast<double>(reading.count()) + load.cacheTransfers * kTransferMs;
+  };
+  AddDistances(candidates, aView.ownZone, kCrossZoneMs);
+  AddDistances(candidates, aCacheZone, kCrossZoneMs);
+  const Candidate* const best = FindCheapest(aView, candidates, tolerance, cost);
+  return best == nullptr ? std::nullopt : std::optional<Target>(*best->target);
 }
 
 milliseconds
@@ -242,14 +320,14 @@
             const core::ServiceName& aService,
             const TriedTargets& aTried)
 {
-  const auto candidates = FindCandidates(
+  auto candidates = FindCandidates(
     aView, aTried, [&](const Target& aTarget) { return aTarget.service == aService; });
-  const Target* const best = FindCheapest(candidates, [&](const Target& aTarget) {
-    return aView.loads.Total(aTarget.id, aView.now).requests +
-           aView.health.FailureRate(aTarget.id, aView.now) * kFailureRequests +
-           (aTarget.zone == aView.ownZone ? 0.0 : kCrossZoneRequests);
-  });
-  return best == nullptr ? std::nullopt : std::optional<Target>(*best);
+  const auto cost = [&](const Candidate& aCandidate) {
+    return aCandidate.load.requests + aCandidate.failureRate * kFailureRequests;
+  };
+  AddDistances(candidates, aView.ownZone, kCrossZoneRequests);
+  const Candidate* const best = FindCheapest(aView, candidates, { 0.0, kConnectRequests }, cost);
+  return best == nullptr ? std::nullopt : std::optional<Target>(*best->target);
 }
 
 } // namespace plantainslip::serving
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -237,8 +237,9 @@
     if (ended) {
       co_return;
     }
-    const auto target =
-      ChoosePlain(aContext.View(), aRequest.service.name, ExcludedTargets(aRequest));
+    PlacementView view = aContext.View();
+    view.maxIdle = MaxIdleFor(aContext, aRequest, AttemptStep::kWhole);
+    const auto target = ChoosePlain(view, aRequest.service.name, ExcludedTargets(aRequest));
     if (!target.has_value()) {
       std::string reason = "no_target";
       co_await FailRequest(aContext, aRequest, std::move(reason));
--- a/src/serving/target_call.cpp
+++ b/src/serving/target_call.cpp
@@ -130,6 +130,7 @@
     const int status = static_cast<int>(message.result_int());
     const bool interim = status < kFirstFinalStatus;
     if (interim || this->IsForAnotherRequest()) {
+      this->hasSkippedHead = true;
       foreignResponses += interim ? 0 : 1;
       interimResponses += interim ? 1 : 0;
       const auto discarded = co_await this->ReadAll(kMaxForeignBodyBytes);
@@ -157,6 +158,14 @@
                             "only interim responses or responses to other requests");
 }
 
+bool
+TargetCall::HasReceived() const
+{
+  return this->hasSkippedHead || this->connection == nullptr ||
+         this->connection->buffer.size() > 0 ||
+         (this->parser != nullptr && this->parser->got_some());
+}
+
 Task<absl::StatusOr<bool>>
 TargetCall::ReadSome(std::string& aBody)
 {
--- a/src/serving/target_call.hpp
+++ b/src/serving/target_call.hpp
@@ -46,6 +46,9 @@
   /// @param aSkipBody  whether responses to the method have no body
   Task<absl::StatusOr<ResponseHead>> ReadHead(bool aSkipBody);
 
+  /// @brief Returns whether any byte of a response was received; before ReturnToPool() only.
+  bool HasReceived() const;
+
   /// @brief Reads the next part of the body and appends it.
   /// @return false if the response is complete
   Task<absl::StatusOr<bool>> ReadSome(std::string& aBody);
@@ -71,6 +74,8 @@
   Cancellation& cancellation;
   Cancellation::Scope scope;
   std::unique_ptr<Parser> parser;
+  /// @brief Whether the head of an interim response or of one to another request was received.
+  bool hasSkippedHead = false;
   std::array<char, 8'192> readBuffer{};
 };
 
