--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -53,6 +53,7 @@
     this->path.revocationBound = aSettings.revocationBound;
     this->path.quarantine = serving::RequestQuarantine(aOptions.quarantine);
     this->path.retryOptions.retriesPerRequest = aSettings.retriesPerRequest * kUsedBudgetFraction;
+    this->path.affinityKey = std::hash<std::string>()(aSettings.instance.Text());
     this->UpdateRetryBudget(0);
   }
 
@@ -73,7 +74,12 @@
   void UpdateRetryBudget(std::size_t aPeers);
   void CountWorkspaces();
 
-  static serving::PoolOptions TargetPoolOptions() { return {}; }
+  static serving::PoolOptions TargetPoolOptions()
+  {
+    serving::PoolOptions options;
+    options.statedLifetime = std::chrono::minutes(1);
+    return options;
+  }
 
   wire::Settings settings;
   GatewayOptions ownOptions;
