Make platform calls by the holder of the fleet's lease

Platform calls may be made by one instance at a time, and the platform checks no fencing tokens. The lease of the stage orders moves into the module duties: a pure state machine on boot time, an I/O loop over the store, and DutyCaller, which checks the lease before each call and again before the first byte, keeps one call in flight per subject and only repeats a call without an answer for 13 s. Control runs the duties beside the renewal. Peer messages end with the holder's token. Without an address for platform calls the store calls and the timing of orders are unchanged.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 
 #include "control.hpp"
 #include "directory_wire.hpp"
+#include "duty_wire.hpp"
 #include "http_listener.hpp"
 #include "load_exchange.hpp"
 #include "request_path.hpp"
@@ -83,6 +84,7 @@
   serving::ConnectionPool controlPool{ this->control.get_executor(), {}, this->clock };
   wire::TargetWire targetWire;
   wire::DirectoryWire directoryWire;
+  wire::DutyWire dutyWire;
   wire::StoreWire store{ this->settings.store, this->controlPool };
   serving::PathMetrics metrics;
   serving::PathContext path;
@@ -139,6 +141,7 @@
     core::Log(core::LogLevel::kInfo, "ready", {});
   }
   this->exchange->SetPeers(aUpdate.peers);
+  this->exchange->SetHeldToken(aUpdate.heldToken);
   if (aUpdate.changing != this->changingTargets) {
     // An engine that was ordered to change its stage counts as full, here and, through the load
     // exchange, on all peers.
@@ -173,6 +176,11 @@
   options.leaseDuration = this->settings.orderLeaseDuration;
   options.initialDecodeShare = this->ownOptions.initialDecodeShare;
   options.stageChangeCosts = this->ownOptions.stageChangeCosts;
+  if (this->settings.platformCalls.has_value()) {
+    options.platformCalls =
+      serving::PlatformCallOptions{ this->settings.platformCalls->address,
+                                    this->settings.platformCalls->callsPerSecond };
+  }
   this->controller = std::make_unique<serving::Control>(
     this->control,
     this->store,
@@ -186,6 +194,9 @@
         this->ApplyUpdate(std::move(update));
       });
     });
+  if (this->settings.platformCalls.has_value()) {
+    this->controller->EnableCalls(this->dutyWire, this->metrics);
+  }
 }
 
 absl::Status
@@ -258,6 +269,7 @@
   const core::MonotonicTime startedAt = this->clock.Now();
   this->stopping = true;
   this->callerListener->BeginDrain();
+  asio::post(this->control, [this] { this->controller->BeginStop(); });
   core::Log(core::LogLevel::kInfo,
             "stopping",
             { { "open_requests", std::to_string(this->callerListener->CountBusy()) } });
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -40,6 +40,8 @@
   DemandTable demand;
   /// @brief Recent evidence about requests that end targets.
   CrashReport crashes;
+  /// @brief Token with which the sender holds the fleet's lease; zero if it does not.
+  core::FencingToken heldToken;
 };
 
 /// @brief Encodes a message as CBOR. Linear in the number of targets.
--- a/include/plantainslip/serving/store_items.hpp
+++ b/include/plantainslip/serving/store_items.hpp
@@ -53,6 +53,8 @@
   /// @brief Position of the last change of this key.
   StorePosition position;
   bool removed = false;
+  /// @brief Store lease that the key is bound to; zero if none.
+  LeaseId lease = {};
 };
 
 /// @brief Listed items or changes, complete up to a position.
--- a/include/plantainslip/serving/watch_duty.hpp
+++ b/include/plantainslip/serving/watch_duty.hpp
@@ -22,6 +22,8 @@
   core::MonotonicTime confirmedAt;
   StorePosition configPosition;
   StorePosition targetsPosition;
+  /// @brief Token with which the peer states to hold the fleet's lease; zero if it does not.
+  core::FencingToken heldToken = {};
 };
 
 /// @brief Whether an instance watches the store itself.
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -36,6 +36,19 @@
   return aOrigin == ChangeOrigin::kStore ? "store" : "peer";
 }
 
+// Without platform calls a lease that was lost may be claimed again at once.
+duties::LeaseRules
+MakeLeaseRules(const ControlOptions& aOptions)
+{
+  duties::LeaseRules rules;
+  rules.duration = aOptions.leaseDuration;
+  if (aOptions.platformCalls.has_value()) {
+    rules.pauseAfterLoss = aOptions.leaseDuration;
+    rules.resolvesClaims = true;
+  }
+  return rules;
+}
+
 } // namespace
 
 Control::Control(asio::io_context& aContext,
@@ -70,6 +83,9 @@
                    kTargetBatchDelay,
                    [this](const FollowedChanges& aChanges) { this->ApplyTargets(aChanges); })
   , directory(this->options.targetHeartbeat)
+  , leadership(aStore, this->options.self.id, MakeLeaseRules(this->options), [this] {
+    this->OnLeaseChange();
+  })
 {
 }
 
@@ -143,6 +159,7 @@
   }
   this->livePeerCount = static_cast<std::size_t>(std::count_if(
     aPeers.begin(), aPeers.end(), [&](const auto& aPeer) { return IsAlive(aPeer, now); }));
+  this->RecordLivePeers(aPeers);
   this->RecordConfirmation(LatestPeerConfirmation(this->OwnState(), aPeers, now));
   const WatchDuty newDuty = DecideWatchDuty(this->OwnState(), aPeers, now);
   if (newDuty.isWatcher != this->duty.isWatcher) {
@@ -307,6 +324,8 @@
     update.changing.push_back(id);
   }
   update.leaving = this->leaving;
+  update.heldToken =
+    this->options.platformCalls.has_value() ? this->leadership.Token() : core::FencingToken(0);
   this->publish(std::move(update));
 }
 
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -13,6 +13,8 @@
 
 #include "async_store.hpp"
 #include "directory_codec.hpp"
+#include "duty_caller.hpp"
+#include "lease_keeper.hpp"
 #include "store_follower.hpp"
 
 namespace plantainslip::serving {
@@ -40,6 +42,9 @@
   std::vector<TargetProcess> leaving;
   /// @brief Whether to inform peers immediately, as they may have no other source.
   bool announce = false;
+  /// @brief Token with which this instance holds the fleet's lease; zero if it does not, or if the
+  ///        deployment has no platform calls.
+  core::FencingToken heldToken;
 };
 
 /// @brief Identity and address of the instance, and settings of the control thread.
@@ -56,6 +61,9 @@
   ///        if not set.
   std::optional<double> initialDecodeShare;
   StageChangeCosts stageChangeCosts = {};
+  /// @brief Absent if the deployment has no address for platform calls; orders to targets then
+  ///        follow the lease as they do without duties.
+  std::optional<PlatformCallOptions> platformCalls;
 };
 
 /// @brief Follows the store, maintains the instance's entry there, and sends orders while it holds
@@ -78,6 +86,17 @@
   /// @return OK, or error 1506 (serving.cannot_listen)
   absl::Status Start();
 
+  /// @brief Adds work that is done while this instance holds the lease. The options must have
+  ///        platform calls. Before Start().
+  void AddDuty(std::unique_ptr<Duty> aDuty);
+
+  /// @brief Enables platform calls; the options must have their address. Before Start().
+  void EnableCalls(const DutyCodec& aCodec, PathMetrics& aMetrics);
+
+  /// @brief Neither claims nor renews the lease any more, as the instance is stopping. Without
+  ///        platform calls the lease is kept until the process ends.
+  void BeginStop();
+
   /// @brief Processes the states of live peers; called several times per second.
   void UpdatePeers(const std::vector<PeerState>& aPeers);
 
@@ -90,13 +109,17 @@
   void UpdateDemand(const DemandTable& aTotals, bool aHasTraffic);
 
 private:
+  struct RunningDuty
+  {
+    std::unique_ptr<Duty> duty;
+    bool isPerforming = false;
+  };
+
   Task<void> MaintainEntry();
   Task<bool> EnsureEntry();
   Task<void> ReadPeers();
   Task<void> ApplyTargetDeadlines();
   Task<void> LeadershipLoop();
-  Task<void> TryAcquireLease();
-  Task<void> RenewLease();
   Task<void> SendOrders();
   Task<void> SendOrder(StageChange aChange);
   bool StatesLeaving(const Target& aTarget, const absl::StatusOr<SimpleAnswer>& aAnswer);
@@ -105,8 +128,12 @@
   void RemoveFinishedOrders();
   FleetSnapshot ExpectedFleet() const;
   bool IsSettling(const Service& aService) const;
-  void StepDown(const std::string& aReason);
-  bool LeaseIsSafe() const;
+  bool PeerHoldsLease() const;
+  void RecordLivePeers(const std::vector<PeerState>& aPeers);
+  void OnLeaseChange();
+  void StartDuties();
+  Task<void> PerformDuty(RunningDuty& aDuty);
+  DutyInput MakeDutyInput();
   void ApplyConfig(const FollowedChanges& aChanges);
   void ApplyTargets(const FollowedChanges& aChanges);
   /// @brief Logs a change by which a target that was listed as usable leaves or is removed.
@@ -143,17 +170,14 @@
   std::size_t livePeerCount = 0;
   std::optional<Lease> entryLease;
 
-  struct Leadership
-  {
-    Lease lease;
-    core::FencingToken token;
-    /// @brief Boot time until which the lease holds; that clock also runs while the machine is
-    ///        suspended.
-    std::chrono::nanoseconds safeUntil{ 0 };
-    /// @brief Boot time from which orders may be sent.
-    std::chrono::nanoseconds ordersAllowedFrom{ 0 };
-  };
-  std::optional<Leadership> leadership;
+  LeaseKeeper leadership;
+  std::vector<std::unique_ptr<RunningDuty>> duties;
+  std::unique_ptr<DutyCaller> dutyCalls;
+  PathMetrics* metrics = nullptr;
+  /// @brief Live instances by zone, this one included.
+  std::map<core::ZoneId, std::size_t> liveInstances;
+  /// @brief Highest token that a live peer states to hold the lease with; zero if none does.
+  core::FencingToken peerToken;
   /// @brief Stage change that was ordered, and when the order is dropped if the directory does not
   ///        show the change.
   struct PendingOrder
--- a/src/serving/control_leader.cpp
+++ b/src/serving/control_leader.cpp
@@ -1,7 +1,6 @@
 #include "control.hpp"
 
 #include <algorithm>
-#include <ctime>
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/core/random.hpp>
@@ -11,12 +10,9 @@
 
 namespace {
 
-const std::string kLeaderKey = "plantainslip/leader";
 constexpr milliseconds kLeadInterval{ 1'000 };
 /// Mean number of instances that check for a free lease per interval.
 constexpr double kCandidatesPerInterval = 8.0;
-/// Remaining lease time required to send an order, so that it arrives while the lease holds.
-constexpr milliseconds kLeaseMargin{ 700 };
 constexpr milliseconds kOrderTimeout{ 600 };
 /// An order without an answer may still be carried out this much later; it is not repeated before.
 constexpr milliseconds kMaxOrderDelay{ 13'000 };
@@ -26,14 +22,6 @@
 constexpr int kAccepted = 202;
 constexpr int kFenced = 412;
 
-std::chrono::nanoseconds
-BootTime()
-{
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
 void
 LogStagePlan(const core::ServiceName& aService,
              const StageSplit& aSplit,
@@ -75,89 +63,19 @@
 
 } // namespace
 
-bool
-Control::LeaseIsSafe() const
-{
-  return this->leadership.has_value() && BootTime() + kLeaseMargin < this->leadership->safeUntil;
-}
-
-void
-Control::StepDown(const std::string& aReason)
-{
-  if (this->leadership.has_value()) {
-    core::Log(
-      core::LogLevel::kWarning,
-      "orders: stepped down",
-      { { "reason", aReason }, { "token", std::to_string(this->leadership->token.Number()) } });
-  }
-  this->leadership.reset();
-}
-
-Task<void>
-Control::TryAcquireLease()
-{
-  const auto items = co_await this->store.List(kLeaderKey, Freshness::kMayBeStale);
-  if (!items.ok() || !items->items.empty()) {
-    co_return;
-  }
-  const auto before = BootTime();
-  const auto lease = co_await this->store.Grant(this->options.leaseDuration);
-  if (!lease.ok()) {
-    co_return;
-  }
-  std::string key = kLeaderKey;
-  std::string value = this->options.self.id.Text();
-  const auto written =
-    co_await this->store.Put(std::move(key), std::move(value), *lease, core::Revision(0));
-  if (!written.ok()) {
-    co_return;
-  }
-  // The position of the key grows with every holder, so it serves as the fencing token. No order is
-  // sent until all orders of the previous holder are at least one lease duration old.
-  Leadership acquired{ *lease,
-                       FencingTokenAt(*written),
-                       before + this->options.leaseDuration,
-                       BootTime() + this->options.leaseDuration };
-  this->leadership = acquired;
-  core::Log(core::LogLevel::kInfo,
-            "orders: lease acquired",
-            { { "token", std::to_string(acquired.token.Number()) } });
-}
-
-Task<void>
-Control::RenewLease()
-{
-  if (BootTime() >= this->leadership->safeUntil) {
-    this->StepDown("lease lapsed");
-    co_return;
-  }
-  const auto before = BootTime();
-  const absl::Status renewed = co_await this->store.Renew(this->leadership->lease);
-  if (!this->leadership.has_value()) {
-    co_return;
-  }
-  if (renewed.ok()) {
-    this->leadership->safeUntil = before + this->options.leaseDuration;
-  } else if (core::IsError(renewed, errors::kStoreConflict)) {
-    this->StepDown("lease ended");
-  }
-}
-
 Task<void>
 Control::LeadershipLoop()
 {
   while (true) {
-    if (this->leadership.has_value()) {
-      co_await this->RenewLease();
-      if (this->LeaseIsSafe() && BootTime() >= this->leadership->ordersAllowedFrom) {
-        co_await this->SendOrders();
-      }
-    } else {
-      co_await this->TryAcquireLease();
+    const bool wasHeld = this->leadership.IsHeld();
+    co_await this->leadership.Step(!this->PeerHoldsLease());
+    if (wasHeld && this->leadership.MayCall()) {
+      co_await this->SendOrders();
+      this->StartDuties();
     }
     // The more instances are alive, the less often each of them checks for a free lease.
     const double intervalFactor =
-      this->leadership.has_value()
+      this->leadership.IsHeld()
         ? 1.0
         : std::max(1.0, static_cast<double>(this->livePeerCount) / kCandidatesPerInterval);
     const double jitteredFactor = intervalFactor * (0.75 + 0.5 * this->random.Fraction());
@@ -255,7 +173,7 @@
       }
     }
     for (const StageChange& change : changes) {
-      if (!this->LeaseIsSafe()) {
+      if (!this->leadership.IsSafe()) {
         co_return;
       }
       this->pendingOrders[change.target.id] = {
@@ -288,17 +206,21 @@
   const auto countAnswer = co_await SendSimpleRequest(this->pool, std::move(countRequest));
   const auto count = ReadOrderCount(this->codec, countAnswer);
   const bool isLeaving = this->StatesLeaving(aChange.target, countAnswer);
-  if (isLeaving || !count.ok() || !this->LeaseIsSafe()) {
+  if (isLeaving || !count.ok() || !this->leadership.IsSafe()) {
     core::Log(core::LogLevel::kWarning,
               "orders: not sent",
               { { "target", aChange.target.id.Text() },
                 { "report", std::string(count.status().message()) },
-                { "lease_safe", this->LeaseIsSafe() ? "yes" : "no" } });
+                { "lease_safe", this->leadership.IsSafe() ? "yes" : "no" } });
     co_return;
   }
-  const OrderAuthority authority{ this->options.self.id, this->leadership->token };
+  const OrderAuthority authority{ this->options.self.id, this->leadership.Token() };
   SimpleRequest order = this->codec.StageOrder(aChange, authority, *count);
   order.timeout = kOrderTimeout;
+  // The process may have been paused while it connected.
+  order.maySend = [this, token = authority.token] {
+    return this->leadership.IsSafe() && this->leadership.Token() == token;
+  };
   const auto answer = co_await SendSimpleRequest(this->pool, std::move(order));
   this->StatesLeaving(aChange.target, answer);
   core::Log(
@@ -313,7 +235,7 @@
   if (!answer.ok()) {
     this->pendingOrders[aChange.target.id].expiresAt = this->clock.Now() + kMaxOrderDelay;
   } else if (answer->status == kFenced) {
-    this->StepDown("a newer token was used");
+    this->leadership.StepDown("a newer token was used");
   } else if (answer->status != kAccepted && answer->status != kOk) {
     this->pendingOrders[aChange.target.id].expiresAt = this->clock.Now() + kDirectoryLag;
   }
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -112,7 +112,8 @@
             now,
             now - aMessage.confirmedAge,
             aMessage.configPosition,
-            aMessage.targetsPosition };
+            aMessage.targetsPosition,
+            aMessage.heldToken };
   this->path.loads.SetPeerReport(aMessage.sender, aMessage.loads, now);
   this->demand.SetReport(aMessage.sender, aMessage.demand);
   this->path.health.SetPeerReport(aMessage.sender, aMessage.unreachable, now);
@@ -138,6 +139,23 @@
   }
 }
 
+std::optional<LeaseHolder>
+LoadExchange::CurrentHolder() const
+{
+  const core::MonotonicTime now = this->path.clock.Now();
+  std::optional<LeaseHolder> holder;
+  if (this->heldToken.Number() > 0) {
+    holder = LeaseHolder{ this->self.id, this->self.address, this->heldToken };
+  }
+  for (const auto& [id, peer] : this->peers) {
+    const core::FencingToken best = holder.has_value() ? holder->token : core::FencingToken(0);
+    if (IsAlive(peer.state, now) && peer.state.heldToken > best) {
+      holder = LeaseHolder{ id, peer.state.address, peer.state.heldToken };
+    }
+  }
+  return holder;
+}
+
 void
 LoadExchange::ReportPeers()
 {
@@ -209,6 +227,7 @@
   message.limits = this->path.limits.News(now);
   message.leaving = this->path.notices.NewsFor(this->path.fleet->targets);
   message.crashes = this->path.quarantine.Report(now);
+  message.heldToken = this->heldToken;
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [id, peer] : this->peers) {
     if (aRecipients == Recipients::kAllZones || peer.state.zone == this->self.zone) {
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -14,6 +14,14 @@
 
 namespace plantainslip::serving {
 
+/// @brief The instance that holds the fleet's lease, as it states itself.
+struct LeaseHolder
+{
+  core::InstanceId id;
+  net::Address address;
+  core::FencingToken token;
+};
+
 /// @brief Exchanges load reports and known revisions with peers by datagrams. Used on the traffic
 ///        thread.
 class LoadExchange
@@ -34,6 +42,13 @@
   /// @brief Sets the peers listed in the store.
   void SetPeers(const std::vector<PeerInstance>& aPeers);
 
+  /// @brief Sets the token with which this instance holds the fleet's lease; zero if it does not.
+  void SetHeldToken(core::FencingToken aToken) { this->heldToken = aToken; }
+
+  /// @brief Returns the live instance that states the highest token, this one included; nullopt if
+  ///        none states any. Linear in the number of peers.
+  std::optional<LeaseHolder> CurrentHolder() const;
+
   /// @brief Immediately sends this instance's revisions and loads to all peers.
   void Announce() { this->SendToPeers(Recipients::kAllZones); }
 
@@ -76,6 +91,7 @@
   std::map<core::InstanceId, Peer> peers;
   FleetDemand demand;
   std::uint64_t sequence = 0;
+  core::FencingToken heldToken;
   LoadTable lastSent;
   /// @brief When a message was last sent to peers of all zones.
   core::MonotonicTime sentToAllZonesAt;
--- a/src/serving/path_metrics.cpp
+++ b/src/serving/path_metrics.cpp
@@ -9,6 +9,13 @@
   ++this->counters[aName][aLabel];
 }
 
+void
+PathMetrics::Set(const std::string& aName, std::uint64_t aValue)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->gauges[aName] = aValue;
+}
+
 std::string
 PathMetrics::Format() const
 {
@@ -23,6 +30,10 @@
       text.append(std::to_string(count)).append("\n");
     }
   }
+  for (const auto& [name, value] : this->gauges) {
+    text.append("# TYPE plantainslip_").append(name).append(" gauge\nplantainslip_").append(name);
+    text.append(" ").append(std::to_string(value)).append("\n");
+  }
   return text;
 }
 
--- a/src/serving/path_metrics.hpp
+++ b/src/serving/path_metrics.hpp
@@ -19,6 +19,9 @@
   /// @param aLabel  value of the label `kind`
   void Count(const std::string& aName, const std::string& aLabel);
 
+  /// @brief Sets a gauge, which has no label. Logarithmic in the number of gauges.
+  void Set(const std::string& aName, std::uint64_t aValue);
+
   /// @brief Formats all metrics in the Prometheus text format.
   std::string Format() const;
 
@@ -29,6 +32,7 @@
 private:
   mutable std::mutex mutex;
   std::map<std::string, std::map<std::string, std::uint64_t>> counters;
+  std::map<std::string, std::uint64_t> gauges;
 };
 
 } // namespace plantainslip::serving
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -298,9 +298,13 @@
                                EncodeProcesses(aMessage.leaving),
                                EncodeLimits(aMessage.limits) });
   // Rare, and unknown to instances of earlier versions.
-  if (!aMessage.crashes.Empty()) {
+  const bool isHolder = aMessage.heldToken.Number() > 0;
+  if (!aMessage.crashes.Empty() || isHolder) {
     message.push_back(EncodeCrashes(aMessage.crashes));
   }
+  if (isHolder) {
+    message.push_back(aMessage.heldToken.Number());
+  }
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -313,6 +317,7 @@
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
   PeerMessage read;
   constexpr std::size_t kFields = 12;
+  constexpr std::size_t kHolderField = 13;
   if (!message.is_array() || message.size() < kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !DecodePosition(message[2], read.configPosition) ||
       !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
@@ -320,9 +325,13 @@
       !message[7].is_number_unsigned() || !message[8].is_array() ||
       !DecodeDemand(message[9], read.demand) || !DecodeProcesses(message[10], read.leaving) ||
       !DecodeLimits(message[11], read.limits) ||
-      (message.size() > kFields && !DecodeCrashes(message[kFields], read.crashes))) {
+      (message.size() > kFields && !DecodeCrashes(message[kFields], read.crashes)) ||
+      (message.size() > kHolderField && !message[kHolderField].is_number_unsigned())) {
     return bad();
   }
+  if (message.size() > kHolderField) {
+    read.heldToken = core::FencingToken(message[kHolderField].get<std::uint64_t>());
+  }
   read.sender = core::InstanceId(message[0].get<std::string>());
   read.sequence = message[1].get<std::uint64_t>();
   read.zone = core::ZoneId(message[5].get<std::string>());
--- a/src/serving/simple_call.cpp
+++ b/src/serving/simple_call.cpp
@@ -38,6 +38,10 @@
   }
   std::string requestHead =
     FormatRequestHead(aRequest.method, aRequest.path, headers, aRequest.body.size());
+  if (aRequest.maySend != nullptr && !aRequest.maySend()) {
+    call.ReturnToPool(aPool, aRequest.address);
+    co_return Exchange{ core::MakeError(errors::kCancelled, "must not be sent any more"), false };
+  }
   const absl::Status sent = co_await call.Send(std::move(requestHead), aRequest.body);
   if (!sent.ok()) {
     co_return Exchange{ sent, reused };
--- a/src/serving/simple_call.hpp
+++ b/src/serving/simple_call.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include "target_call.hpp"
 
 namespace plantainslip::serving {
@@ -16,6 +18,8 @@
   std::chrono::milliseconds timeout{ 0 };
   /// @brief Whether it may be sent again on a new connection if a reused one turns out dead.
   bool idempotent = false;
+  /// @brief If set, checked immediately before the first byte is sent; false ends the call.
+  std::function<bool()> maySend = nullptr;
 };
 
 /// @brief Response to a small request.
@@ -27,8 +31,9 @@
 };
 
 /// @brief Sends a small request and reads its response.
-/// @return the response, or error 1501 (serving.not_connected: not sent), 1502, 1503 or 1505
-///         (serving.timed_out): the request may have been carried out
+/// @return the response, or error 1501 (serving.not_connected: not sent), 1504 (serving.cancelled:
+///         not sent, as SimpleRequest::maySend forbade it), 1502, 1503 or 1505 (serving.timed_out):
+///         the request may have been carried out
 Task<absl::StatusOr<SimpleAnswer>>
 SendSimpleRequest(ConnectionPool& aPool, SimpleRequest aRequest);
 
--- a/tests/fakes/wire_store.cpp
+++ b/tests/fakes/wire_store.cpp
@@ -120,6 +120,7 @@
   this->items = aCopy.items;
   this->revision = aCopy.revision;
   this->nextLease = aCopy.nextLease;
+  this->leases.clear();
   ++this->era;
 }
 
@@ -130,6 +131,37 @@
   return { { "Store-Era", std::to_string(this->era) } };
 }
 
+void
+WireStore::ExpireLeases()
+{
+  const std::scoped_lock lock(this->mutex);
+  this->expiresLeases = true;
+}
+
+bool
+WireStore::HoldsLease(std::uint64_t aLease) const
+{
+  const auto found = this->leases.find(aLease);
+  return !this->expiresLeases || aLease == 0 ||
+         (found != this->leases.end() && this->clock.Now() < found->second.endsAt);
+}
+
+void
+WireStore::RemoveExpired()
+{
+  std::vector<std::string> ended;
+  for (const auto& [key, item] : this->items) {
+    if (!item.removed && !this->HoldsLease(item.lease)) {
+      ended.push_back(key);
+    }
+  }
+  for (const std::string& key : ended) {
+    Item item;
+    item.removed = true;
+    this->ApplyChange(key, item);
+  }
+}
+
 void
 WireStore::CompactHistory()
 {
@@ -189,6 +221,11 @@
 WireStore::CommitTransaction(const std::string& aBody)
 {
   const json body = json::parse(aBody);
+  for (const json& row : body.at("setKeys")) {
+    if (!this->HoldsLease(row.value("lease", std::uint64_t{ 0 }))) {
+      return { 404, "{}" };
+    }
+  }
   for (const json& row : body.at("precondition")) {
     const auto found = this->items.find(row.at("key").get<std::string>());
     const bool absent = found == this->items.end() || found->second.removed;
@@ -214,6 +251,7 @@
   if (this->mode == Mode::kRefusing) {
     return { 503, "" };
   }
+  this->RemoveExpired();
   if (path == "/plantainslip/kv-range") {
     return { 200, this->ListItems(aRequest.target) };
   }
@@ -221,11 +259,18 @@
     return this->CommitTransaction(aRequest.body);
   }
   if (path == "/plantainslip/kv-lease") {
-    return { 200, json{ { "lease", this->nextLease++ }, { "ttlMs", 3'000 } }.dump() };
+    const std::chrono::milliseconds duration(
+      json::parse(aRequest.body).at("ttlMs").get<std::int64_t>());
+    this->leases[this->nextLease] = { this->clock.Now() + duration, duration };
+    return { 200, json{ { "lease", this->nextLease++ }, { "ttlMs", duration.count() } }.dump() };
   }
   if (path.starts_with("/plantainslip/kv-keep/")) {
     const std::uint64_t lease = std::stoull(path.substr(path.rfind('/') + 1));
-    return { lease < this->nextLease ? 200 : 404, json{ { "ttlMs", 3'000 } }.dump() };
+    const bool holds = lease < this->nextLease && this->HoldsLease(lease);
+    if (holds) {
+      this->leases[lease].endsAt = this->clock.Now() + this->leases[lease].duration;
+    }
+    return { holds ? 200 : 404, json{ { "ttlMs", 3'000 } }.dump() };
   }
   return { 404, "" };
 }
--- a/tests/fakes/wire_store.hpp
+++ b/tests/fakes/wire_store.hpp
@@ -60,6 +60,10 @@
   ///        cut, and the era grows by one.
   void Restore(const Copy& aCopy);
 
+  /// @brief From now on leases end after their duration, with the keys that are bound to them, and
+  ///        with their era. Without this call leases never end.
+  void ExpireLeases();
+
   /// @brief Compacts the history: watches that start before the current revision get 410.
   void CompactHistory();
 
@@ -90,6 +94,8 @@
   serving::HeaderList ResponseHeaders() const;
   std::pair<int, std::string> CommitTransaction(const std::string& aBody);
   void ApplyChange(const std::string& aKey, Item aItem);
+  void RemoveExpired();
+  bool HoldsLease(std::uint64_t aLease) const;
 
   mutable std::mutex mutex;
   std::map<std::string, Item> items;
@@ -97,6 +103,14 @@
   std::uint64_t compactedRevision = 0;
   std::uint64_t nextLease = 1;
   std::uint64_t era = 1;
+  struct GrantedLease
+  {
+    core::MonotonicTime endsAt;
+    std::chrono::milliseconds duration{ 0 };
+  };
+  /// @brief Leases of this era; only used after ExpireLeases().
+  std::map<std::uint64_t, GrantedLease> leases;
+  bool expiresLeases = false;
   std::map<std::string, std::size_t> watchCounts;
   Mode mode = Mode::kAvailable;
   serving::asio::io_context& context;
