Respect the engines' memory across all instances, and spread refusals

Engines that decode were chosen by requests alone, so together the instances could send one more tokens than it holds. Loads now count held tokens, also in peer messages; ChooseDecode skips engines whose memory a request would exceed, a request larger than an engine gets 413, and while all are full others are refused before their prefill. Retry-After is spread by a quarter and at most a third of the time left. Without cacheTokens in the configuration the choice is as before.

--- a/include/plantainslip/serving/admission_rule.hpp
+++ b/include/plantainslip/serving/admission_rule.hpp
@@ -19,6 +19,14 @@
 std::optional<milliseconds>
 RefusalRetryDelay(const Route& aRoute, const PrefillPlacement& aPlace, milliseconds aElapsed);
 
+/// @brief Returns the retry delay of a refusal: the expected wait within a quarter, spread so that
+///        callers that were refused together do not return together, and at most a third of the
+///        time that the caller has left, as it gives up otherwise.
+/// @param aSeed  any number that differs between requests
+/// @return the delay; constant time
+milliseconds
+SpreadRetryDelay(milliseconds aWait, milliseconds aTimeLeft, std::uint64_t aSeed);
+
 /// @brief Decides whether an instance that is shutting down still accepts a request.
 ///
 /// Handles rolling restarts, in which the load balancer still sends new connections to instances
--- a/include/plantainslip/serving/load_tracker.hpp
+++ b/include/plantainslip/serving/load_tracker.hpp
@@ -20,6 +20,9 @@
   std::array<double, kPriorityLevels> prefillTokens{};
   /// @brief Cache transfers in flight to or from the target. They accumulate on a slow link.
   double cacheTransfers = 0.0;
+  /// @brief Prompt and expected output of the requests that hold cache memory at the target, in
+  ///        tokens.
+  double heldTokens = 0.0;
 
   /// @brief Returns the queued tokens that are prefilled before a new prompt of a priority.
   double TokensBefore(std::size_t aPriority) const
--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -60,13 +60,22 @@
               const TriedTargets& aTried);
 
 /// @brief Chooses the engine that decodes the output.
+///
+/// An engine whose memory the request would exceed is not chosen, if the configuration states it.
 /// @param aCacheZone  zone of the engine that holds the prompt's cache
+/// @param aTokens  prompt and expected output; zero ignores the engines' memory
 /// @return nothing if no engine can be chosen; linear in the number of targets and peers
 std::optional<Target>
 ChooseDecode(const PlacementView& aView,
              const core::ServiceName& aService,
              const core::ZoneId& aCacheZone,
-             const TriedTargets& aTried);
+             const TriedTargets& aTried,
+             double aTokens = 0.0);
+
+/// @brief Returns the tokens that one engine of a service holds; zero if the configuration does not
+///        state it.
+double
+EngineMemory(const FleetSnapshot& aFleet, const core::ServiceName& aService);
 
 /// @brief Chooses the least loaded target of a plain service, preferring the instance's own zone.
 ///
--- a/src/serving/admission_rule.cpp
+++ b/src/serving/admission_rule.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <plantainslip/core/random.hpp>
+
 namespace plantainslip::serving {
 
 namespace {
@@ -33,6 +35,14 @@
   return aSinceStop <= kStreamAcceptancePeriod;
 }
 
+milliseconds
+SpreadRetryDelay(milliseconds aWait, milliseconds aTimeLeft, std::uint64_t aSeed)
+{
+  const double spread = 0.75 + 0.5 * core::RandomSource(aSeed).Fraction();
+  const milliseconds delay(static_cast<std::int64_t>(static_cast<double>(aWait.count()) * spread));
+  return std::clamp(delay, milliseconds(1), std::max(milliseconds(1), aTimeLeft / 3));
+}
+
 std::optional<milliseconds>
 RefusalRetryDelay(const Route& aRoute, const PrefillPlacement& aPlace, milliseconds aElapsed)
 {
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/admission_rule.hpp>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
 
 /// The prefill timeout is the expected wait, this multiple of the expected reading time, and this
@@ -28,6 +30,9 @@
 constexpr milliseconds kReleaseTimeout{ 500 };
 /// Interval at which a queued prompt is placed again; shorter than an engine's time per chunk.
 constexpr milliseconds kRecheckInterval{ 12 };
+/// Time after a request found the memory of all engines full in which others are checked before
+/// their prefill; a stream ends at some engine within it.
+constexpr milliseconds kMemoryFullPeriod{ 300 };
 /// From this number of unreachable engines on, prefill needs a retry to go on. Decode gives up at
 /// an unreachable engine once it has tried this many engines, reached or not.
 constexpr std::size_t kMaxUnreachable = 4;
@@ -78,6 +83,12 @@
   void CountDemandOnce(const PrefillPlacement& aPlace);
   AttemptPlan DecodePlan() const;
   std::optional<Target> ChooseDecodeEngine() const;
+  std::optional<Target> ChooseDecodeEngineFor(double aTokens) const;
+  double HeldTokens() const;
+  bool IsMemoryFull();
+  milliseconds RetryDelay(milliseconds aWait) const;
+  Task<bool> RefuseIfNoMemory();
+  Task<std::optional<Target>> AwaitDecodeEngine();
   void RecordPrefill(const PrefillPlacement& aPlace,
                      const Attempt& aAttempt,
                      milliseconds aDuration,
@@ -250,7 +261,11 @@
     this->CountDemandOnce(*place);
     if (const auto retryAfter = RefusalRetryDelay(this->request.route, *place, this->Elapsed())) {
       std::string reason = "queue_too_long";
-      co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), *retryAfter);
+      co_await Refuse(this->context,
+                      this->request,
+                      kUnavailable,
+                      std::move(reason),
+                      this->RetryDelay(*retryAfter));
       co_return PrefillOutcome::kRequestEnded;
     }
     const TargetLoad engineLoad =
@@ -292,12 +307,84 @@
 }
 
 std::optional<Target>
-Completion::ChooseDecodeEngine() const
+Completion::ChooseDecodeEngineFor(double aTokens) const
 {
   const core::ZoneId& zone =
     this->cachedPrompt.has_value() ? this->cachedPrompt->engine.zone : this->context.ownZone;
   return ChooseDecode(
-    this->context.View(), this->request.service.name, zone, this->triedDecodeEngines);
+    this->context.View(), this->request.service.name, zone, this->triedDecodeEngines, aTokens);
+}
+
+std::optional<Target>
+Completion::ChooseDecodeEngine() const
+{
+  return this->ChooseDecodeEngineFor(this->HeldTokens());
+}
+
+// Tokens that the request holds in an engine's memory at most.
+double
+Completion::HeldTokens() const
+{
+  return static_cast<double>(this->prompt.promptTokens + this->prompt.maxOutputTokens);
+}
+
+// Returns whether there are engines that decode, but none has memory for the request.
+bool
+Completion::IsMemoryFull()
+{
+  if (this->ChooseDecodeEngine().has_value() || !this->ChooseDecodeEngineFor(0.0).has_value()) {
+    return false;
+  }
+  this->context.memoryFullAt[this->request.service.name] = this->context.clock.Now();
+  return true;
+}
+
+milliseconds
+Completion::RetryDelay(milliseconds aWait) const
+{
+  // Differs between the attempts of a caller as well.
+  const auto arrival = this->request.caller.arrival.time_since_epoch().count();
+  const auto seed =
+    std::hash<std::string>()(this->request.info.id.Text()) ^ static_cast<std::size_t>(arrival);
+  return SpreadRetryDelay(aWait, TimeLeft(this->context, this->request), seed);
+}
+
+// Refuses a request that no engine can hold, or that would be prefilled in vain. Engines are
+// checked before the prefill only while a request has lately found none with room.
+Task<bool>
+Completion::RefuseIfNoMemory()
+{
+  const double memory = EngineMemory(*this->context.fleet, this->request.service.name);
+  if (memory > 0.0 && this->HeldTokens() > memory) {
+    std::string reason = "larger_than_engine";
+    co_await Refuse(this->context, this->request, kTooLarge, std::move(reason), milliseconds(0));
+    co_return true;
+  }
+  const auto fullAt = this->context.memoryFullAt.find(this->request.service.name);
+  const bool wasFull = fullAt != this->context.memoryFullAt.end() &&
+                       this->context.clock.Now() - fullAt->second <= kMemoryFullPeriod;
+  if (!wasFull || !this->IsMemoryFull()) {
+    co_return false;
+  }
+  std::string reason = "engines_full";
+  const milliseconds retryAfter = this->RetryDelay(kMemoryFullPeriod);
+  co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), retryAfter);
+  co_return true;
+}
+
+// Waits for an engine with room while all are full, for a fraction of the time that the prompt's
+// cache is kept.
+Task<std::optional<Target>>
+Completion::AwaitDecodeEngine()
+{
+  const core::MonotonicTime until =
+    this->context.clock.Now() + std::min(this->request.service.engine->handleLifetime / 2,
+                                         TimeLeft(this->context, this->request) / 3);
+  while (this->IsMemoryFull() && this->context.clock.Now() < until &&
+         !this->request.cancellation.Reason().has_value()) {
+    co_await SleepFor(kRecheckInterval, this->request.cancellation);
+  }
+  co_return this->ChooseDecodeEngine();
 }
 
 AttemptPlan
@@ -406,7 +493,10 @@
 Completion::Decode()
 {
   std::optional<Target> engine = this->ChooseDecodeEngine();
-  std::string reason = "no_engine";
+  if (!engine.has_value()) {
+    engine = co_await this->AwaitDecodeEngine();
+  }
+  std::string reason = engine.has_value() || !this->IsMemoryFull() ? "no_engine" : "engines_full";
   while (engine.has_value()) {
     const bool ended = co_await EndIfQuarantined(this->context, this->request);
     if (ended) {
@@ -415,10 +505,11 @@
     }
     const bool readsPrompt = !this->cachedPrompt.has_value();
     // Decode engines read prompts at half the speed, so the tokens count twice.
-    LoadScope load(this->context.loads,
-                   engine->id,
-                   readsPrompt ? PromptLoad(0, 2.0 * static_cast<double>(this->prompt.promptTokens))
-                               : CacheTransferLoad(1.0));
+    TargetLoad engineLoad = readsPrompt
+                              ? PromptLoad(0, 2.0 * static_cast<double>(this->prompt.promptTokens))
+                              : CacheTransferLoad(1.0);
+    engineLoad.heldTokens = this->HeldTokens();
+    LoadScope load(this->context.loads, engine->id, engineLoad);
     std::optional<LoadScope> sourceLoad;
     if (this->cachedPrompt.has_value()) {
       sourceLoad.emplace(
@@ -452,6 +543,10 @@
     co_await FailRequest(this->context, this->request, std::move(reason));
     co_return;
   }
+  const bool refused = co_await this->RefuseIfNoMemory();
+  if (refused) {
+    co_return;
+  }
   const PrefillOutcome outcome = co_await this->Prefill();
   if (outcome == PrefillOutcome::kRequestEnded) {
     this->context.demand.AddLate(this->request.service.name, 1.0, 0.0);
--- a/src/serving/load_tracker.cpp
+++ b/src/serving/load_tracker.cpp
@@ -12,6 +12,7 @@
   };
   add(this->requests, aOther.requests);
   add(this->cacheTransfers, aOther.cacheTransfers);
+  add(this->heldTokens, aOther.heldTokens);
   for (std::size_t level = 0; level < kPriorityLevels; ++level) {
     add(this->prefillTokens[level], aOther.prefillTokens[level]);
   }
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -91,6 +91,9 @@
   /// @brief Set once the instance is stopping.
   std::optional<Stopping> stopping = {};
 
+  /// @brief When the memory of all engines that decode was last found full, by service.
+  std::map<core::ServiceName, core::MonotonicTime> memoryFullAt = {};
+
   /// @brief Returns the retry budget of a service; creates it at its first use.
   retries::RetryBudget& Budget(const core::ServiceName& aService)
   {
@@ -217,11 +220,13 @@
   LoadScope(const LoadScope&) = delete;
   LoadScope& operator=(const LoadScope&) = delete;
 
-  /// @brief Removes all load but the request: its prompt was read or its cache was received.
+  /// @brief Removes all load but the request and the memory that it holds: its prompt was read or
+  ///        its cache was received.
   void RemoveAllButRequest()
   {
     TargetLoad done = this->load;
     done.requests = 0.0;
+    done.heldTokens = 0.0;
     this->tracker.Remove(this->target, done);
     this->load.Add(done, -1.0);
   }
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -156,6 +157,39 @@
   return true;
 }
 
+/// Unit of held tokens in messages; an engine's memory is thousands of them.
+constexpr double kHeldTokensUnit = 64.0;
+
+// Tokens held at each target, in the order of the loads; empty if none are held.
+json
+EncodeHeldTokens(const LoadTable& aLoads)
+{
+  json held = json::array();
+  bool isHeld = false;
+  for (const auto& [target, load] : aLoads) {
+    held.push_back(static_cast<std::uint64_t>(std::ceil(load.heldTokens / kHeldTokensUnit)));
+    isHeld = isHeld || load.heldTokens > 0.0;
+  }
+  return isHeld ? held : json::array();
+}
+
+// Returns whether the value is well-formed.
+bool
+DecodeHeldTokens(const json& aHeld, const json& aLoads, LoadTable& aTable)
+{
+  if (!aHeld.is_array() || aHeld.size() != aLoads.size()) {
+    return false;
+  }
+  for (std::size_t index = 0; index < aHeld.size(); ++index) {
+    if (!aHeld[index].is_number_unsigned()) {
+      return false;
+    }
+    aTable[core::TargetId(aLoads[index][0].get<std::string>())].heldTokens =
+      aHeld[index].get<double>() * kHeldTokensUnit;
+  }
+  return true;
+}
+
 json
 EncodeTraits(const TraitSet& aTraits)
 {
@@ -299,12 +333,16 @@
                                EncodeLimits(aMessage.limits) });
   // Rare, and unknown to instances of earlier versions.
   const bool isHolder = aMessage.heldToken.Number() > 0;
-  if (!aMessage.crashes.Empty() || isHolder) {
+  json held = EncodeHeldTokens(aMessage.loads);
+  if (!aMessage.crashes.Empty() || isHolder || !held.empty()) {
     message.push_back(EncodeCrashes(aMessage.crashes));
   }
-  if (isHolder) {
+  if (isHolder || !held.empty()) {
     message.push_back(aMessage.heldToken.Number());
   }
+  if (!held.empty()) {
+    message.push_back(std::move(held));
+  }
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -318,6 +356,7 @@
   PeerMessage read;
   constexpr std::size_t kFields = 12;
   constexpr std::size_t kHolderField = 13;
+  constexpr std::size_t kHeldField = 14;
   if (!message.is_array() || message.size() < kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !DecodePosition(message[2], read.configPosition) ||
       !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
@@ -361,6 +400,10 @@
     }
     read.loads[core::TargetId(entry[0].get<std::string>())] = load;
   }
+  if (message.size() > kHeldField &&
+      !DecodeHeldTokens(message[kHeldField], message[4], read.loads)) {
+    return bad();
+  }
   return read;
 }
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -189,14 +189,29 @@
   return place;
 }
 
+double
+EngineMemory(const FleetSnapshot& aFleet, const core::ServiceName& aService)
+{
+  if (aFleet.config == nullptr) {
+    return 0.0;
+  }
+  const auto found = aFleet.config->services.find(aService);
+  const bool isEngine = found != aFleet.config->services.end() && found->second.engine.has_value();
+  return isEngine ? static_cast<double>(found->second.engine->cacheTokens) : 0.0;
+}
+
 std::optional<Target>
 ChooseDecode(const PlacementView& aView,
              const core::ServiceName& aService,
              const core::ZoneId& aCacheZone,
-             const TriedTargets& aTried)
+             const TriedTargets& aTried,
+             double aTokens)
 {
+  const double memory = aTokens > 0.0 ? EngineMemory(aView.fleet, aService) : 0.0;
   const auto candidates = FindCandidates(aView, aTried, [&](const Target& aTarget) {
-    return aTarget.service == aService && aTarget.stage == EngineStage::kDecode;
+    return aTarget.service == aService && aTarget.stage == EngineStage::kDecode &&
+           (memory <= 0.0 ||
+            aView.loads.Total(aTarget.id, aView.now).heldTokens + aTokens <= memory);
   });
   const Target* const best = FindCheapest(candidates, [&](const Target& aTarget) {
     const TargetLoad load = aView.loads.Total(aTarget.id, aView.now);
