--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -156,6 +157,39 @@
   return true;
 }
 
+/// Unit of held tokens in messages; an engine's memory is thousands of them.
+constexpr double kHeldTokensUnit = 64.0;
+
+// Tokens held at each target, in the order of the loads; empty if none are held.
+json
+EncodeHeldTokens(const LoadTable& aLoads)
+{
+  json held = json::array();
+  bool isHeld = false;
+  for (const auto& [target, load] : aLoads) {
+    held.push_back(static_cast<std::uint64_t>(std::ceil(load.heldTokens / kHeldTokensUnit)));
+    isHeld = isHeld || load.heldTokens > 0.0;
+  }
+  return isHeld ? held : json::array();
+}
+
+// Returns whether the value is well-formed.
+bool
+DecodeHeldTokens(const json& aHeld, const json& aLoads, LoadTable& aTable)
+{
+  if (!aHeld.is_array() || aHeld.size() != aLoads.size()) {
+    return false;
+  }
+  for (std::size_t index = 0; index < aHeld.size(); ++index) {
+    if (!aHeld[index].is_number_unsigned()) {
+      return false;
+    }
+    aTable[core::TargetId(aLoads[index][0].get<std::string>())].heldTokens =
+      aHeld[index].get<double>() * kHeldTokensUnit;
+  }
+  return true;
+}
+
 json
 EncodeTraits(const TraitSet& aTraits)
 {
@@ -298,9 +332,17 @@
                                EncodeProcesses(aMessage.leaving),
                                EncodeLimits(aMessage.limits) });
   // Rare, and unknown to instances of earlier versions.
-  if (!aMessage.crashes.Empty()) {
+  const bool isHolder = aMessage.heldToken.Number() > 0;
+  json held = EncodeHeldTokens(aMessage.loads);
+  if (!aMessage.crashes.Empty() || isHolder || !held.empty()) {
     message.push_back(EncodeCrashes(aMessage.crashes));
   }
+  if (isHolder || !held.empty()) {
+    message.push_back(aMessage.heldToken.Number());
+  }
+  if (!held.empty()) {
+    message.push_back(std::move(held));
+  }
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
@@ -313,6 +355,8 @@
   const json message = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
   PeerMessage read;
   constexpr std::size_t kFields = 12;
+  constexpr std::size_t kHolderField = 13;
+  constexpr std::size_t kHeldField = 14;
   if (!message.is_array() || message.size() < kFields || !message[0].is_string() ||
       !message[1].is_number_unsigned() || !DecodePosition(message[2], read.configPosition) ||
       !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
@@ -320,9 +364,13 @@
       !message[7].is_number_unsigned() || !message[8].is_array() ||
       !DecodeDemand(message[9], read.demand) || !DecodeProcesses(message[10], read.leaving) ||
       !DecodeLimits(message[11], read.limits) ||
-      (message.size() > kFields && !DecodeCrashes(message[kFields], read.crashes))) {
+      (message.size() > kFields && !DecodeCrashes(message[kFields], read.crashes)) ||
+      (message.size() > kHolderField && !message[kHolderField].is_number_unsigned())) {
     return bad();
   }
+  if (message.size() > kHolderField) {
+    read.heldToken = core::FencingToken(message[kHolderField].get<std::uint64_t>());
+  }
   read.sender = core::InstanceId(message[0].get<std::string>());
   read.sequence = message[1].get<std::uint64_t>();
   read.zone = core::ZoneId(message[5].get<std::string>());
@@ -352,6 +400,10 @@
     }
     read.loads[core::TargetId(entry[0].get<std::string>())] = load;
   }
+  if (message.size() > kHeldField &&
+      !DecodeHeldTokens(message[kHeldField], message[4], read.loads)) {
+    return bad();
+  }
   return read;
 }
 
