Count requests by workspace and window, and report them under the lease

Deployments with the duty usage_report got no reports. Each instance now counts requests that begin to run, by window and workspace, and sends the totals of its open windows to the lease holder and two standby collectors once a second.

The gateway counts and sends; the duty is not connected to the lease yet, which needs the duties module.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 #include "spawn.hpp"
 #include "store_wire.hpp"
 #include "target_wire.hpp"
+#include "usage_link.hpp"
 
 namespace plantainslip::apps {
 
@@ -72,6 +73,7 @@
   void ApplyUpdate(serving::ControlUpdate aUpdate);
   void UpdateRetryBudget(std::size_t aPeers);
   void CountWorkspaces();
+  void CountUsage();
 
   static serving::PoolOptions TargetPoolOptions() { return {}; }
 
@@ -94,6 +96,8 @@
   std::unique_ptr<serving::HttpListener> readinessListener;
   std::unique_ptr<serving::HttpListener> metricsListener;
   std::unique_ptr<serving::LoadExchange> exchange;
+  /// @brief Absent if the deployment reports no usage.
+  std::unique_ptr<serving::UsageLink> usageLink;
   std::vector<std::unique_ptr<serving::LoadScope>> changingLoads;
   std::vector<core::TargetId> changingTargets;
   bool stopping = false;
@@ -169,6 +173,29 @@
   this->metrics.Set("workspaces", keys == nullptr ? 0 : keys->Size());
 }
 
+// Counts requests by workspace and tells the collectors, if the deployment reports usage.
+void
+Gateway::CountUsage()
+{
+  const auto& calls = this->settings.platformCalls;
+  if (!calls.has_value() || !calls->reportsUsage) {
+    return;
+  }
+  this->usageLink = std::make_unique<serving::UsageLink>(
+    this->traffic,
+    this->clock,
+    usage::WindowRules{ calls->usageWindow, calls->usageDue },
+    this->Self(),
+    *this->exchange,
+    this->metrics,
+    [] { return std::optional<core::InstanceId>(); },
+    [](const serving::UsageInput&) {});
+  this->path.countUsage = [this](const core::WorkspaceId& aWorkspace) {
+    this->usageLink->Count(aWorkspace);
+  };
+  this->usageLink->Start();
+}
+
 // The limit on retries applies to all instances together, so each gets an equal share.
 void
 Gateway::UpdateRetryBudget(std::size_t aPeers)
@@ -228,6 +255,7 @@
     return opened.status();
   }
   this->exchange = std::move(*opened);
+  this->CountUsage();
   const auto open = [this](std::unique_ptr<serving::HttpListener>& aListener,
                            const net::Address& aAddress,
                            serving::RequestHandler aHandler) {
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -344,6 +344,7 @@
                                 answeredAt);
   } else {
     this->request.relay = kRelayedWhole;
+    CountUsageOnce(this->context, this->request);
     body = co_await aCall.ReadRemainingBody(aAttempt);
     complete = aAttempt.state == AttemptState::kAnswered;
     if (const auto targetResult = ToAttemptResult(aAttempt)) {
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
+#include <plantainslip/usage/usage_message.hpp>
 
 #include "attempt.hpp"
 #include "spawn.hpp"
@@ -159,6 +160,28 @@
   this->onPeers(std::move(states), this->demand);
 }
 
+void
+LoadExchange::SendTo(const core::InstanceId& aPeer, const std::string& aBytes)
+{
+  if (const auto peer = this->peers.find(aPeer); peer != this->peers.end()) {
+    ErrorCode ignored;
+    this->socket.send_to(asio::buffer(aBytes), peer->second.endpoint, 0, ignored);
+  }
+}
+
+std::vector<PeerState>
+LoadExchange::LivePeers() const
+{
+  const core::MonotonicTime now = this->path.clock.Now();
+  std::vector<PeerState> live;
+  for (const auto& [id, peer] : this->peers) {
+    if (IsAlive(peer.state, now)) {
+      live.push_back(peer.state);
+    }
+  }
+  return live;
+}
+
 Task<void>
 LoadExchange::ReceiveLoop()
 {
@@ -174,7 +197,14 @@
       // The host of a stopped peer replies with "port unreachable"; this socket still works.
       continue;
     }
-    const auto message = DecodePeerMessage(std::string_view(this->received.data(), size));
+    const std::string_view bytes(this->received.data(), size);
+    if (usage::IsUsageMessage(bytes)) {
+      if (this->onUsage) {
+        this->onUsage(bytes);
+      }
+      continue;
+    }
+    const auto message = DecodePeerMessage(bytes);
     if (message.ok() && message->sender != this->self.id) {
       this->ProcessMessage(*message, from);
     }
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -31,6 +31,18 @@
                                                             PathContext& aPath,
                                                             OnPeers aOnPeers);
 
+  /// @brief Handles a datagram with usage counts.
+  using OnUsage = std::function<void(std::string_view)>;
+
+  /// @brief Sets the handler of datagrams with usage counts; without one they are dropped.
+  void SetUsageHandler(OnUsage aHandler) { this->onUsage = std::move(aHandler); }
+
+  /// @brief Sends a datagram to a peer; without effect if the peer is unknown.
+  void SendTo(const core::InstanceId& aPeer, const std::string& aBytes);
+
+  /// @brief Returns the states of all live peers.
+  std::vector<PeerState> LivePeers() const;
+
   /// @brief Sets the peers listed in the store.
   void SetPeers(const std::vector<PeerInstance>& aPeers);
 
@@ -71,6 +83,7 @@
   double linkMbps;
   PathContext& path;
   OnPeers onPeers;
+  OnUsage onUsage;
   Udp::socket socket;
   asio::steady_timer timer;
   std::map<core::InstanceId, Peer> peers;
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -86,6 +86,9 @@
   /// may
   ///        have been revoked; absent if the last known keys go on being accepted.
   std::optional<milliseconds> revocationBound = {};
+  /// @brief Called once for each request of a workspace that begins to run; empty if usage is not
+  ///        counted.
+  std::function<void(const core::WorkspaceId&)> countUsage = {};
   /// @brief Time of the stop signal and latest end of the process.
   struct Stopping
   {
@@ -206,8 +209,21 @@
   /// @brief Whether the configuration has workspaces, so that the caller's key and a workspace that
   ///        it states are not forwarded.
   bool hidesCallerIdentity = false;
+  /// @brief Whether CountUsageOnce() has counted the request.
+  bool isUsageCounted = false;
 };
 
+/// @brief Counts a request that has begun to run, however often it is called: at a stream's first
+///        event and at the head of another answer of a target that does not refuse it.
+inline void
+CountUsageOnce(const PathContext& aContext, PathRequest& aRequest)
+{
+  if (!aRequest.isUsageCounted && aContext.countUsage && !aRequest.workspace.Empty()) {
+    aContext.countUsage(aRequest.workspace);
+    aRequest.isUsageCounted = true;
+  }
+}
+
 /// @brief Returns the targets that a request must not be sent to again: tried or unreachable.
 inline TriedTargets
 ExcludedTargets(const PathRequest& aRequest)
--- a/src/serving/request_path.cpp
+++ b/src/serving/request_path.cpp
@@ -265,6 +265,7 @@
       }
     } else if (attempt.state == AttemptState::kAnswered) {
       aRequest.relay = kRelayedWhole;
+      CountUsageOnce(aContext, aRequest);
       body = co_await call.ReadRemainingBody(attempt);
     }
     if (const auto targetResult = ToAttemptResult(attempt)) {
--- a/src/serving/response_relay.cpp
+++ b/src/serving/response_relay.cpp
@@ -69,6 +69,7 @@
     const absl::StatusOr<bool> more = co_await aCall.ReadSome(bytes);
     bytes = this->events.ExtractComplete(bytes);
     if (!bytes.empty()) {
+      CountUsageOnce(this->context, this->request);
       aCall.RecordAnswer();
     }
     const bool forwarded = co_await this->Forward(aAttempt, std::move(bytes));
--- a/tests/src/unit-workspaces.cpp
+++ b/tests/src/unit-workspaces.cpp
@@ -136,7 +136,9 @@
       { { { "Authorization", "Bearer" } }, "key_malformed" },
       { { { "Authorization", "Bearer k1" }, { "Authorization", "Bearer k2" } }, "key_malformed" },
     };
-    for (const auto& [headers, reason] : refused) {
+    for (const auto& entry : refused) {
+      const HeaderList& headers = entry.first;
+      const std::string& reason = entry.second;
       CAPTURE(reason);
       CHECK(check(headers, recent).outcome == KeyOutcome::kUnauthorized);
       CHECK(check(headers, recent).reason == reason);
