Divide scaled targets by each zone's demand; do not give up targets for a refused order

The demand is summed by the sender's zone too, which costs no bytes. A zone's number follows its largest need of the last seconds instead of its share of the instances, which falls when instances of the zone fail although its callers stay.

After a refusal the plan is made anew before any number is lowered: each retry of a zone without reclaimable targets lowered the others by a step and raised them again.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -203,11 +203,12 @@
                  [this,
                   peers = std::move(aPeers),
                   demand = aDemand.Totals(),
+                  zoneDemand = aDemand.ZoneTotals(),
                   hasTraffic = aDemand.HasTraffic(),
                   leaving = this->path.notices.NewsFor(this->path.fleet->targets)] {
                    this->controller->UpdatePeers(peers);
                    this->controller->SetLeaving(leaving);
-                   this->controller->UpdateDemand(demand, hasTraffic);
+                   this->controller->UpdateDemand(demand, zoneDemand, hasTraffic);
                  });
     });
   if (!opened.ok()) {
--- a/include/plantainslip/scaling/service_planner.hpp
+++ b/include/plantainslip/scaling/service_planner.hpp
@@ -82,24 +82,28 @@
 
 using CountsByZone = std::map<core::ZoneId, ZoneCounts>;
 
+/// @brief Targets that the demand of each zone needs, with headroom; fractions are possible.
+using NeedByZone = std::map<core::ZoneId, double>;
+
 /// @brief Divides needed targets between the visible zones and the kinds.
 ///
-/// A zone gets the share of its own demand, as traffic between zones is priced too. Each zone keeps
+/// A zone gets what its own demand needs, as traffic between zones is priced too. Each zone keeps
 /// a floor of regular targets, one for each stage at least; the others are reclaimable ones. Where
 /// there are none, those of other zones take their place, one zone after the other beginning with
 /// the cheapest, so that no zone holds most of them; regular ones take it last. Linear in the
 /// number of zones and of targets.
-/// @param aNeeded  targets for the demand of all visible zones, with headroom
+/// @param aNeeds  needs of the visible zones; those that are absent need nothing
 CountsByZone
-DivideTargets(const ScalingInput& aInput, const ScalingOptions& aOptions, double aNeeded);
+DivideTargets(const ScalingInput& aInput, const ScalingOptions& aOptions, const NeedByZone& aNeeds);
 
 /// @brief Desired numbers, and what they follow from.
 struct ScalingPlan
 {
   /// @brief All zones of the input; a number equal to the ordered one needs no order.
   CountsByZone desired;
-  /// @brief Targets that the present demand needs, and those that the demand of the last seconds
-  ///        needs; zero if the demand is unknown.
+  /// @brief Targets that the present demand needs, and those that the largest demand of each zone
+  /// in
+  ///        the last seconds needs; zero if the demand is unknown.
   double needed = 0.0;
   double neededLately = 0.0;
   /// @brief Whether late requests keep targets from being given up.
@@ -125,7 +129,9 @@
   ScalingPlan Plan(const ScalingInput& aInput, core::MonotonicTime aNow);
 
 private:
-  double RecordNeed(double aNeeded, const ScalingInput& aInput, core::MonotonicTime aNow);
+  NeedByZone RecordNeeds(const NeedByZone& aNeeds,
+                         const ScalingInput& aInput,
+                         core::MonotonicTime aNow);
   ZoneCounts PlanZoneWithoutDemand(const ScalingInput& aInput,
                                    const core::ZoneId& aZone,
                                    bool aMayLower);
@@ -136,7 +142,7 @@
                       bool aMayLower) const;
 
   ScalingOptions options;
-  std::deque<std::pair<core::MonotonicTime, double>> needs;
+  std::deque<std::pair<core::MonotonicTime, NeedByZone>> needs;
   std::optional<core::MonotonicTime> demandKnownSince;
   std::map<core::ZoneId, core::MonotonicTime> loweredAt;
 
--- a/include/plantainslip/serving/stage_demand.hpp
+++ b/include/plantainslip/serving/stage_demand.hpp
@@ -39,6 +39,9 @@
 /// @brief Totals by service.
 using DemandTable = std::map<core::ServiceName, DemandTotals>;
 
+/// @brief Totals by the zone of the instances that callers sent the work to.
+using ZoneDemandTable = std::map<core::ZoneId, DemandTable>;
+
 /// @brief Counts the demand that one instance sees. Not thread-safe.
 class DemandMeter
 {
@@ -88,7 +91,9 @@
 public:
   /// @brief Adds what an instance has counted since its last report; smaller totals mean that its
   ///        process was restarted. Logarithmic in the number of instances.
-  void SetReport(const core::InstanceId& aInstance, const DemandTable& aTotals);
+  void SetReport(const core::InstanceId& aInstance,
+                 const DemandTable& aTotals,
+                 const core::ZoneId& aZone = {});
 
   /// @brief Drops instances that are gone; their work stays counted. Linear in their number.
   template<typename IsKnown>
@@ -100,12 +105,16 @@
   /// @brief Returns the sum over all instances since the first report of each.
   const DemandTable& Totals() const { return this->sum; }
 
+  /// @brief Returns the sums by the zone of the instances.
+  const ZoneDemandTable& ZoneTotals() const { return this->zoneSums; }
+
   /// @brief Returns whether any instance has seen traffic, also before its first report here.
   bool HasTraffic() const { return this->hasTraffic; }
 
 private:
   std::map<core::InstanceId, DemandTable> reports;
   DemandTable sum;
+  ZoneDemandTable zoneSums;
   bool hasTraffic = false;
 };
 
@@ -128,6 +137,9 @@
   double decodeLateShare = 0.0;
 };
 
+/// @brief Present demand by the zone of the instances that callers sent it to.
+using ZoneDemand = std::map<core::ZoneId, StageDemand>;
+
 /// @brief Estimates the present demand of one service from its totals, as a moving average.
 class DemandEstimator
 {
--- a/src/scaling/scaling_duty.cpp
+++ b/src/scaling/scaling_duty.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds kDirectoryLag{ 2'500 };
 /// Time for which a zone and kind that was refused or reclaimed is not ordered again.
 constexpr milliseconds kUnavailableTime{ 5'000 };
+/// Plans made at once one after another, each without what the platform has refused to the one
+/// before.
+constexpr std::size_t kMaxPasses = 4;
 /// Time after the store has come back from a copy in which targets register again.
 constexpr milliseconds kRebuildTime{ 6'000 };
 
@@ -79,6 +82,34 @@
               { "directory_complete", aInput.isDirectoryComplete ? "yes" : "no" } });
 }
 
+// Sets the shares of the visible zones by their measured demand, or by their live instances while
+// it is not known of all of them.
+void
+SetDemandShares(const serving::DutyInput& aInput,
+                const serving::Service& aService,
+                ScalingInput& aScaling)
+{
+  const auto found = aInput.zoneDemand.find(aService.name);
+  const auto isMeasured = [&](const auto& aEntry) {
+    return !aEntry.second.visible ||
+           (found != aInput.zoneDemand.end() && found->second.contains(aEntry.first));
+  };
+  const bool allMeasured = aService.engine.has_value() &&
+                           std::all_of(aScaling.zones.begin(), aScaling.zones.end(), isMeasured);
+  double sum = 0.0;
+  for (auto& [zone, state] : aScaling.zones) {
+    if (state.visible) {
+      state.demandShare =
+        allMeasured ? serving::NeededEngines(found->second.at(zone), *aService.engine).Total()
+                    : static_cast<double>(aInput.liveInstances.at(zone));
+    }
+    sum += state.demandShare;
+  }
+  for (auto& [zone, state] : aScaling.zones) {
+    state.demandShare = sum > 0.0 ? state.demandShare / sum : 0.0;
+  }
+}
+
 } // namespace
 
 void
@@ -185,7 +216,6 @@
   }
   input.split = serving::CountStages(*aInput.fleet, aService.name);
   input.isDirectoryComplete = aInput.isConfirmed && this->clock.Now() >= this->incompleteUntil;
-  double instances = 0.0;
   for (const auto& [key, record] : aRecord.kinds) {
     ZoneState& zone = input.zones[key.first];
     KindState& kind = key.second == TargetKind::kRegular ? zone.regular : zone.reclaimable;
@@ -194,12 +224,8 @@
   for (auto& [zone, state] : input.zones) {
     const auto found = aInput.liveInstances.find(zone);
     state.visible = found != aInput.liveInstances.end() && found->second > 0;
-    state.demandShare = state.visible ? static_cast<double>(found->second) : 0.0;
-    instances += state.demandShare;
-  }
-  for (auto& [zone, state] : input.zones) {
-    state.demandShare = instances > 0.0 ? state.demandShare / instances : 0.0;
   }
+  SetDemandShares(aInput, aService, input);
   return input;
 }
 
@@ -234,6 +260,10 @@
       higher.push_back(wanted);
     }
   }
+  // Regular targets cost most.
+  std::stable_sort(lower.begin(), lower.end(), [](const Wanted& aLeft, const Wanted& aRight) {
+    return aLeft.kind < aRight.kind;
+  });
   repeated.insert(repeated.end(), higher.begin(), higher.end());
   repeated.insert(repeated.end(), lower.begin(), lower.end());
   return repeated;
@@ -317,10 +347,11 @@
       co_return false;
     }
     this->Record(found->second.kinds[{ wanted.zone, wanted.kind }], wanted, outcome);
-    if (outcome == CallOutcome::kThrottled) {
+    isRefused = outcome == CallOutcome::kRefused;
+    // After a refusal, the lower numbers that follow may no longer be right.
+    if (isRefused || outcome == CallOutcome::kThrottled) {
       break;
     }
-    isRefused = isRefused || outcome == CallOutcome::kRefused;
   }
   co_return isRefused;
 }
@@ -336,9 +367,9 @@
     if (!service.scaling.has_value()) {
       continue;
     }
-    const bool isRefused = co_await this->OrderOnce(aCalls, aInput, service);
-    if (isRefused) {
-      co_await this->OrderOnce(aCalls, aInput, service);
+    bool isRefused = true;
+    for (std::size_t pass = 0; isRefused && pass < kMaxPasses; ++pass) {
+      isRefused = co_await this->OrderOnce(aCalls, aInput, service);
     }
   }
 }
--- a/src/scaling/service_planner.cpp
+++ b/src/scaling/service_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <vector>
 
 namespace plantainslip::scaling {
@@ -66,35 +67,53 @@
   return std::min(aInput.limits.maxPerZone, std::max(least, aInput.limits.minPerZone));
 }
 
-// Returns a number of targets with which the loss of the zone that has most of the demand leaves
-// enough for all of it, without a burst.
 double
-WithZoneLoss(const ScalingInput& aInput, const ScalingOptions& aOptions, double aNeeded)
+Sum(const NeedByZone& aNeeds)
 {
+  return std::accumulate(aNeeds.begin(), aNeeds.end(), 0.0, [](double aSum, const auto& aEntry) {
+    return aSum + aEntry.second;
+  });
+}
+
+// Returns the factor by which the needs grow so that the loss of the zone with the largest leaves
+// enough for all demand, without a burst.
+double
+ZoneLossFactor(const ScalingOptions& aOptions, const NeedByZone& aNeeds)
+{
+  constexpr double kMaxShare = 0.5;
+  const double sum = Sum(aNeeds);
   double largest = 0.0;
-  for (const auto& [zone, state] : aInput.zones) {
-    largest = std::max(largest, state.visible ? state.demandShare : 0.0);
+  for (const auto& [zone, need] : aNeeds) {
+    largest = std::max(largest, need);
   }
-  if (largest >= 1.0) {
-    return aNeeded;
+  if (largest >= sum) {
+    return 1.0;
   }
-  const double left = std::max(1.0 - largest, 0.5);
-  return std::max(aNeeded, aNeeded / aOptions.headroom.burstFactor / left);
+  const double left = std::max(1.0 - largest / sum, kMaxShare);
+  return std::max(1.0, 1.0 / aOptions.headroom.burstFactor / left);
 }
 
-// Divides whole targets between the zones by their demand; what is left over goes to the cheapest.
+// Returns whole targets by zone; what is left over of the sum goes to the cheapest zones.
 std::map<core::ZoneId, std::uint64_t>
-DivideByDemand(const ScalingInput& aInput, const Zones& aZones, std::uint64_t aTotal)
+RoundNeeds(const ScalingInput& aInput,
+           const ScalingOptions& aOptions,
+           const Zones& aZones,
+           const NeedByZone& aNeeds)
 {
+  const double factor = ZoneLossFactor(aOptions, aNeeds);
+  const auto needOf = [&](const core::ZoneId& aZone) {
+    const auto found = aNeeds.find(aZone);
+    return found == aNeeds.end() ? 0.0 : found->second * factor;
+  };
+  const std::uint64_t total = RoundUp(Sum(aNeeds) * factor);
   std::map<core::ZoneId, std::uint64_t> own;
   std::uint64_t assigned = 0;
   for (const core::ZoneId& zone : aZones) {
-    own[zone] =
-      static_cast<std::uint64_t>(aInput.zones.at(zone).demandShare * static_cast<double>(aTotal));
+    own[zone] = static_cast<std::uint64_t>(needOf(zone));
     assigned += own[zone];
   }
   for (const core::ZoneId& zone : aZones) {
-    if (assigned < aTotal && aInput.zones.at(zone).demandShare > 0.0) {
+    if (assigned < total && needOf(zone) > 0.0) {
       ++own[zone];
       ++assigned;
     }
@@ -146,6 +165,16 @@
   return prefill || decode;
 }
 
+// Whether reclaimable targets are starting, which may take the place of those of another zone.
+bool
+IsAnyStarting(const ScalingInput& aInput)
+{
+  return std::any_of(aInput.zones.begin(), aInput.zones.end(), [](const auto& aEntry) {
+    const ZoneState& state = aEntry.second;
+    return state.visible && state.reclaimable.ordered > state.reclaimable.serving;
+  });
+}
+
 // Returns a number after one step towards a lower one.
 std::uint64_t
 Lower(std::uint64_t aCount, std::uint64_t aGoal, double aMaxStep)
@@ -160,13 +189,12 @@
 } // namespace
 
 CountsByZone
-DivideTargets(const ScalingInput& aInput, const ScalingOptions& aOptions, double aNeeded)
+DivideTargets(const ScalingInput& aInput, const ScalingOptions& aOptions, const NeedByZone& aNeeds)
 {
   const Zones zones = VisibleZonesByPrice(aInput);
-  const std::uint64_t total = RoundUp(WithZoneLoss(aInput, aOptions, aNeeded));
   CountsByZone counts;
   std::uint64_t leftOver = 0;
-  for (const auto& [zone, own] : DivideByDemand(aInput, zones, total)) {
+  for (const auto& [zone, own] : RoundNeeds(aInput, aOptions, zones, aNeeds)) {
     const ZoneState& state = aInput.zones.at(zone);
     ZoneCounts& zoneCounts = counts[zone];
     const std::uint64_t floor = std::max(aInput.engine.has_value() ? kStages : std::uint64_t{ 0 },
@@ -183,25 +211,31 @@
   return counts;
 }
 
-// Returns the largest need of the last seconds. While less than that time has been seen, the unseen
-// part is taken to have held a burst.
-double
-ServicePlanner::RecordNeed(double aNeeded, const ScalingInput& aInput, core::MonotonicTime aNow)
+// Returns the largest need of each zone in the last seconds. While less than that time has been
+// seen, the unseen part is taken to have held a burst.
+NeedByZone
+ServicePlanner::RecordNeeds(const NeedByZone& aNeeds,
+                            const ScalingInput& aInput,
+                            core::MonotonicTime aNow)
 {
   using Seconds = std::chrono::duration<double>;
   const Seconds window = Seconds(aInput.limits.startupTime) * this->options.lowerAfterStartups;
   this->demandKnownSince = this->demandKnownSince.value_or(aNow);
-  this->needs.emplace_back(aNow, aNeeded);
+  this->needs.emplace_back(aNow, aNeeds);
   while (aNow - this->needs.front().first > window) {
     this->needs.pop_front();
   }
-  double largest = 0.0;
-  for (const auto& [at, need] : this->needs) {
-    largest = std::max(largest, need);
-  }
   const Seconds seen = aNow - *this->demandKnownSince;
   const double unseen = seen >= window ? 0.0 : 1.0 - seen / window;
-  return largest * (1.0 + (this->options.headroom.burstFactor - 1.0) * unseen);
+  const double factor = 1.0 + (this->options.headroom.burstFactor - 1.0) * unseen;
+  NeedByZone largest;
+  for (const auto& [at, earlier] : this->needs) {
+    for (const auto& [zone, need] : earlier) {
+      largest[zone] = std::max(largest[zone], need * factor);
+    }
+  }
+  std::erase_if(largest, [&](const auto& aEntry) { return !aNeeds.contains(aEntry.first); });
+  return largest;
 }
 
 // Before the demand is known, every target may be needed: no zone gets fewer than it had. But
@@ -254,7 +288,7 @@
   ZoneCounts desired = present;
   if (aNow.reclaimable > present.reclaimable) {
     desired.reclaimable = aNow.reclaimable;
-  } else if (aMayLower) {
+  } else if (aMayLower && !IsAnyStarting(aInput)) {
     desired.reclaimable = Lower(
       present.reclaimable, std::max(aNow.reclaimable, aLately.reclaimable), this->options.maxStep);
   }
@@ -283,12 +317,20 @@
   CountsByZone lately;
   if (isDemandKnown) {
     this->unmeasured.clear();
-    plan.needed =
+    const double needed =
       serving::NeededEngines(*aInput.demand, *aInput.engine, this->options.headroom).Total();
-    plan.neededLately = this->RecordNeed(plan.needed, aInput, aNow);
+    NeedByZone present;
+    for (const auto& [zone, state] : aInput.zones) {
+      if (state.visible) {
+        present[zone] = state.demandShare * needed;
+      }
+    }
+    const NeedByZone largest = this->RecordNeeds(present, aInput, aNow);
+    plan.needed = Sum(present);
+    plan.neededLately = Sum(largest);
     plan.isHeldByLateness = IsLateForLackOfEngines(aInput);
-    now = DivideTargets(aInput, this->options, plan.needed);
-    lately = DivideTargets(aInput, this->options, plan.neededLately);
+    now = DivideTargets(aInput, this->options, present);
+    lately = DivideTargets(aInput, this->options, largest);
   } else {
     this->needs.clear();
     this->demandKnownSince.reset();
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -121,14 +121,33 @@
 }
 
 void
-Control::UpdateDemand(const DemandTable& aTotals, bool aHasTraffic)
+Control::UpdateDemand(const DemandTable& aTotals, const ZoneDemandTable& aZones, bool aHasTraffic)
 {
   this->hasTraffic = aHasTraffic;
+  for (const auto& [zone, services] : aZones) {
+    for (const auto& [service, totals] : services) {
+      this->zoneDemand[service][zone].Update(totals, this->clock.Now());
+    }
+  }
   for (const auto& [service, totals] : aTotals) {
     this->demand[service].Update(totals, this->clock.Now());
   }
 }
 
+std::map<core::ServiceName, ZoneDemand>
+Control::MeasuredZoneDemand() const
+{
+  std::map<core::ServiceName, ZoneDemand> measured;
+  for (const auto& [service, zones] : this->zoneDemand) {
+    for (const auto& [zone, estimator] : zones) {
+      if (const auto current = estimator.Current(); current.has_value()) {
+        measured[service][zone] = *current;
+      }
+    }
+  }
+  return measured;
+}
+
 void
 Control::UpdatePeers(const std::vector<PeerState>& aPeers)
 {
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -87,7 +87,7 @@
 
   /// @brief Processes the demand that all instances have seen; called several times per second.
   /// @param aHasTraffic  whether any instance has seen traffic, also before this one started
-  void UpdateDemand(const DemandTable& aTotals, bool aHasTraffic);
+  void UpdateDemand(const DemandTable& aTotals, const ZoneDemandTable& aZones, bool aHasTraffic);
 
 private:
   Task<void> MaintainEntry();
@@ -105,6 +105,8 @@
   void RemoveFinishedOrders();
   FleetSnapshot ExpectedFleet() const;
   bool IsSettling(const Service& aService) const;
+  /// @brief Returns the measured demand by service and zone, for DutyInput.
+  std::map<core::ServiceName, ZoneDemand> MeasuredZoneDemand() const;
   void StepDown(const std::string& aReason);
   bool LeaseIsSafe() const;
   void ApplyConfig(const FollowedChanges& aChanges);
@@ -168,6 +170,7 @@
   std::map<core::ServiceName, core::MonotonicTime> replannedAt;
   /// @brief Demand on the engines, by service.
   std::map<core::ServiceName, DemandEstimator> demand;
+  std::map<core::ServiceName, std::map<core::ZoneId, DemandEstimator>> zoneDemand;
   bool hasTraffic = false;
   std::vector<TargetProcess> leaving;
   /// @brief Whether there was a period of #kSettlingTime without a membership change since the
--- a/src/serving/duty.hpp
+++ b/src/serving/duty.hpp
@@ -94,6 +94,8 @@
   std::shared_ptr<const FleetSnapshot> fleet;
   /// @brief Measured demand by service; services without an estimate are absent.
   std::map<core::ServiceName, StageDemand> demand;
+  /// @brief Measured demand by service and zone; zones without an estimate are absent.
+  std::map<core::ServiceName, ZoneDemand> zoneDemand;
   /// @brief Zones of the instances that are alive, this one included, with their numbers.
   std::map<core::ZoneId, std::size_t> liveInstances;
   /// @brief Whether the store has confirmed lately that the snapshot is the newest.
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -114,7 +114,7 @@
             aMessage.configPosition,
             aMessage.targetsPosition };
   this->path.loads.SetPeerReport(aMessage.sender, aMessage.loads, now);
-  this->demand.SetReport(aMessage.sender, aMessage.demand);
+  this->demand.SetReport(aMessage.sender, aMessage.demand, aMessage.zone);
   this->path.health.SetPeerReport(aMessage.sender, aMessage.unreachable, now);
   for (const TargetProcess& process : aMessage.leaving) {
     if (this->path.notices.RecordLeaving(process, now)) {
@@ -152,7 +152,7 @@
     }
   }
   this->path.limits.SetInstances(this->self.id, std::move(liveIds));
-  this->demand.SetReport(this->self.id, this->path.demand.Totals(now));
+  this->demand.SetReport(this->self.id, this->path.demand.Totals(now), this->self.zone);
   this->demand.RemoveUnknown([this](const core::InstanceId& aId) {
     return aId == this->self.id || this->peers.contains(aId);
   });
--- a/src/serving/stage_demand.cpp
+++ b/src/serving/stage_demand.cpp
@@ -95,7 +95,9 @@
 }
 
 void
-FleetDemand::SetReport(const core::InstanceId& aInstance, const DemandTable& aTotals)
+FleetDemand::SetReport(const core::InstanceId& aInstance,
+                       const DemandTable& aTotals,
+                       const core::ZoneId& aZone)
 {
   for (const auto& [service, totals] : aTotals) {
     this->hasTraffic = this->hasTraffic || totals.prompts > 0.0;
@@ -107,10 +109,11 @@
   for (const auto& [service, totals] : aTotals) {
     DemandTotals& before = found->second[service];
     const bool restarted = totals.prompts < before.prompts || totals.streamMs < before.streamMs;
-    DemandTotals& total = this->sum[service];
-    total.Add(totals);
-    if (!restarted) {
-      total.Add(before, -1.0);
+    for (DemandTotals* total : { &this->sum[service], &this->zoneSums[aZone][service] }) {
+      total->Add(totals);
+      if (!restarted) {
+        total->Add(before, -1.0);
+      }
     }
     before = totals;
   }
--- a/tests/src/unit-scaling.cpp
+++ b/tests/src/unit-scaling.cpp
@@ -198,6 +198,9 @@
     if (this->demand.has_value()) {
       input.demand[kModels] = *this->demand;
     }
+    if (!this->zoneDemand.empty()) {
+      input.zoneDemand[kModels] = this->zoneDemand;
+    }
     input.liveInstances = this->instances;
     input.isConfirmed = this->isConfirmed;
     asio::io_context context;
@@ -211,6 +214,7 @@
   PathMetrics metrics;
   scaling::ScalingDuty duty{ this->codec, this->metrics, this->clock, {} };
   std::optional<StageDemand> demand;
+  ZoneDemand zoneDemand;
   std::map<core::ZoneId, std::size_t> instances{ { core::ZoneId("a"), 21 },
                                                  { core::ZoneId("b"), 21 },
                                                  { core::ZoneId("c"), 21 },
@@ -270,7 +274,8 @@
   fleet.cloud.orders.clear();
   run(120s);
   for (const auto& [key, changes] : fleet.cloud.orders) {
-    CAPTURE(key.first);
+    const std::string zone = key.first;
+    CAPTURE(zone);
     CHECK(changes.size() <= 1);
   }
 }
@@ -291,8 +296,10 @@
     for (const std::string& body : fleet.cloud.bodies) {
       CHECK(body.find("\"zone\":\"c\"") == std::string::npos);
     }
-    fleet.Run(5s);
+    fleet.cloud.orders.clear();
+    fleet.Run(30s);
     CHECK(fleet.cloud.Serving("c") >= 4);
+    CHECK(fleet.cloud.orders.empty());
   }
   SUBCASE("and a refusal of one zone is made up by the next one")
   {
@@ -399,37 +406,59 @@
   input.engine = Models().engine;
   for (const auto& [zone, price] : input.limits.zonePrices) {
     input.zones[zone].visible = true;
-    input.zones[zone].demandShare = zone == core::ZoneId("a") ? 0.4 : 0.2;
   }
   const core::ZoneId first("a");
   const core::ZoneId second("b");
+  scaling::NeedByZone needs{
+    { first, 40.0 }, { second, 20.0 }, { core::ZoneId("c"), 20.0 }, { core::ZoneId("d"), 20.0 }
+  };
   SUBCASE("a zone has targets for its own demand, and a floor of regular ones")
   {
-    const auto counts = scaling::DivideTargets(input, {}, 100.0);
+    const auto counts = scaling::DivideTargets(input, {}, needs);
     CHECK(counts.at(first).Total() >= 2 * counts.at(second).Total() - 1);
     CHECK(counts.at(second) == scaling::ZoneCounts{ 6, 16 });
   }
   SUBCASE("at no demand there is one engine for each stage, or the least number")
   {
-    CHECK(scaling::DivideTargets(input, {}, 0.0).at(first).regular == 2);
+    CHECK(scaling::DivideTargets(input, {}, {}).at(first).regular == 2);
     input.limits.minPerZone = 9;
-    CHECK(scaling::DivideTargets(input, {}, 0.0).at(second).Total() == 9);
+    CHECK(scaling::DivideTargets(input, {}, {}).at(second).Total() == 9);
   }
   SUBCASE("no zone gets more than the greatest number, even if others have none")
   {
     input.limits.maxPerZone = 20;
     input.zones[second].reclaimable.available = false;
-    for (const auto& [zone, counts] : scaling::DivideTargets(input, {}, 300.0)) {
+    needs[first] = 200.0;
+    for (const auto& [zone, counts] : scaling::DivideTargets(input, {}, needs)) {
       CHECK(counts.Total() <= 20);
     }
   }
   SUBCASE("without reclaimable targets all are regular")
   {
     input.limits.reclaimablePrice.reset();
-    CHECK(scaling::DivideTargets(input, {}, 100.0).at(second).reclaimable == 0);
+    CHECK(scaling::DivideTargets(input, {}, needs).at(second).reclaimable == 0);
   }
 }
 
+TEST_CASE("a zone whose demand grows gets its targets in that zone")
+{
+  Fleet fleet;
+  fleet.demand = Busy(20.0);
+  fleet.Run(40s);
+  for (const auto& [zone, count] : fleet.instances) {
+    fleet.zoneDemand[zone] = Busy(5.0);
+  }
+  fleet.zoneDemand[core::ZoneId("b")] = Busy(10.0);
+  fleet.demand = Busy(25.0);
+  fleet.Run(1s);
+  const auto desired = [&](const char* aZone) {
+    return fleet.cloud.groups.at({ aZone, false }).desired +
+           fleet.cloud.groups.at({ aZone, true }).desired;
+  };
+  CHECK(static_cast<double>(desired("b")) >= NeededFor(10.0));
+  CHECK(static_cast<double>(desired("c")) <= NeededFor(10.0) * 0.75);
+}
+
 TEST_CASE("an order to scale and the limits that it follows have the platform's format")
 {
   const wire::DutyWire codec;
--- a/tests/src/unit-stage-planner.cpp
+++ b/tests/src/unit-stage-planner.cpp
@@ -303,6 +303,15 @@
     fleet.SetReport(kTwo, two);
     CHECK(fleet.Totals().at(kModels).prompts == 16.0);
   }
+  SUBCASE("by the zones of the instances, too")
+  {
+    one[kModels].prompts = 25.0;
+    fleet.SetReport(kOne, one, core::ZoneId("a"));
+    two[kModels].prompts = 5.0;
+    fleet.SetReport(kTwo, two, core::ZoneId("b"));
+    CHECK(fleet.ZoneTotals().at(core::ZoneId("a")).at(kModels).prompts == 15.0);
+    CHECK(fleet.ZoneTotals().at(core::ZoneId("b")).at(kModels).prompts == 1.0);
+  }
   SUBCASE("and an instance that has just started knows of traffic before its start")
   {
     CHECK(fleet.HasTraffic());
