--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -106,7 +106,7 @@
 
   /// @brief Processes the demand that all instances have seen; called several times per second.
   /// @param aHasTraffic  whether any instance has seen traffic, also before this one started
-  void UpdateDemand(const DemandTable& aTotals, bool aHasTraffic);
+  void UpdateDemand(const DemandTable& aTotals, const ZoneDemandTable& aZones, bool aHasTraffic);
 
 private:
   struct RunningDuty
@@ -134,6 +134,8 @@
   void StartDuties();
   Task<void> PerformDuty(RunningDuty& aDuty);
   DutyInput MakeDutyInput();
+  /// @brief Returns the measured demand by service and zone, for DutyInput.
+  std::map<core::ServiceName, ZoneDemand> MeasuredZoneDemand() const;
   void ApplyConfig(const FollowedChanges& aChanges);
   void ApplyTargets(const FollowedChanges& aChanges);
   /// @brief Logs a change by which a target that was listed as usable leaves or is removed.
@@ -192,6 +194,7 @@
   std::map<core::ServiceName, core::MonotonicTime> replannedAt;
   /// @brief Demand on the engines, by service.
   std::map<core::ServiceName, DemandEstimator> demand;
+  std::map<core::ServiceName, std::map<core::ZoneId, DemandEstimator>> zoneDemand;
   bool hasTraffic = false;
   std::vector<TargetProcess> leaving;
   /// @brief Whether there was a period of #kSettlingTime without a membership change since the
--- a/src/serving/control_duties.cpp
+++ b/src/serving/control_duties.cpp
@@ -87,6 +87,7 @@
       input.demand[service] = *current;
     }
   }
+  input.zoneDemand = this->MeasuredZoneDemand();
   input.liveInstances = this->liveInstances;
   input.isConfirmed = this->clock.Now() - this->confirmedAt <= kConfirmationTimeout;
   input.sinceMembershipChange = this->TimeSinceMembershipChange();
