--- a/tests/src/unit-placement-load.cpp
+++ b/tests/src/unit-placement-load.cpp
@@ -170,6 +170,148 @@
   }
 };
 
+/// @brief Prompts of very different lengths at engines of different speeds, whose time per token
+///        grows with the context.
+struct PromptLoadPlay
+{
+  static constexpr std::size_t kEngines = 24;
+  static constexpr double kNominalRate = 125.0;
+  static constexpr double kWorkPerContext = 0.04;
+  static constexpr double kShared = 5'000.0;
+  static constexpr double kObjectiveMs = 500.0;
+  static constexpr double kLongTokens = 20'000.0;
+
+  struct Queued
+  {
+    double tokens = 0.0;
+    double work = 0.0;
+    double started = 0.0;
+    double queuedTokens = 0.0;
+    PrefillPlacement place;
+  };
+  /// @brief Prompts in time and all prompts.
+  struct Score
+  {
+    double inTime = 0.0;
+    double all = 0.0;
+    double Share() const { return this->all > 0.0 ? this->inTime / this->all : 1.0; }
+  };
+
+  Score shortPrompts;
+  Score longPrompts;
+
+  void Play(double aRequestsPerMs)
+  {
+    constexpr int kCounted = 30'000;
+    for (int step = 0; step < 90'000; ++step) {
+      this->now += 1ms;
+      this->Work(step, step >= kCounted);
+      if (this->uniform(this->random) < aRequestsPerMs) {
+        this->Send(step);
+      }
+    }
+  }
+
+  PromptLoadPlay()
+  {
+    for (std::size_t index = 0; index < kEngines; ++index) {
+      Target engine;
+      engine.id = core::TargetId("engine-" + std::to_string(index));
+      engine.service = kService;
+      engine.address = { "10.0.0.1", static_cast<std::uint16_t>(index + 1) };
+      engine.zone = ZoneOf(0);
+      engine.stage = EngineStage::kPrefill;
+      this->fleet.targets.emplace(engine.id, engine);
+      constexpr double kSlowest = 0.7;
+      this->rates[engine.id] =
+        kNominalRate * (kSlowest + static_cast<double>(index) / (kEngines - 1));
+    }
+  }
+
+private:
+  void Send(int aStep)
+  {
+    // Log-normal lengths: median 3,000, at most 54,600 tokens.
+    std::normal_distribution<double> normal(8.0, 1.2);
+    const double own = std::min(54'600.0, std::exp(normal(this->random)));
+    PromptInfo prompt;
+    prompt.promptTokens = static_cast<std::uint64_t>(kShared + own);
+    prompt.parts = { { 1 + this->random() % 20, static_cast<std::uint64_t>(kShared) },
+                     { 0, static_cast<std::uint64_t>(own) } };
+    const PlacementView view{ this->fleet,   this->loads,  this->health, this->prefill,
+                              this->notices, this->limits, ZoneOf(0),    this->now };
+    const auto place = ChoosePrefill(view, kService, prompt, 500ms, {});
+    Queued queued;
+    queued.tokens = own;
+    const double context = (kShared + own / 2.0) / 1'000.0;
+    queued.work = own * (1.0 + kWorkPerContext * context);
+    queued.started = aStep;
+    queued.queuedTokens =
+      this->loads.Total(place->target.id, this->now).TokensBefore(place->priority);
+    queued.place = *place;
+    this->loads.Add(place->target.id, LoadOf(*place));
+    this->queues[place->target.id].push_back(queued);
+  }
+
+  static TargetLoad LoadOf(const PrefillPlacement& aPlace)
+  {
+    TargetLoad load;
+    load.requests = 1.0;
+    load.prefillTokens[aPlace.priority] = aPlace.tokens;
+    return load;
+  }
+
+  void Work(int aStep, bool aCounts)
+  {
+    for (auto& [id, queue] : this->queues) {
+      double budget = this->rates[id];
+      while (budget > 0.0 && !queue.empty()) {
+        const auto next = std::min_element(
+          queue.begin(), queue.end(), [](const Queued& aLeft, const Queued& aRight) {
+            return aLeft.place.priority < aRight.place.priority;
+          });
+        const double done = std::min(budget, next->work);
+        next->work -= done;
+        budget -= done;
+        if (next->work <= 0.0) {
+          this->Finish(aStep, *next, aCounts);
+          queue.erase(next);
+        }
+      }
+    }
+  }
+
+  void Finish(int aStep, const Queued& aQueued, bool aCounts)
+  {
+    const core::TargetId& engine = aQueued.place.target.id;
+    this->loads.Remove(engine, LoadOf(aQueued.place));
+    const double tookMs = aStep - aQueued.started;
+    const auto took = PrefillModel::kCallOverhead + milliseconds(static_cast<std::int64_t>(tookMs));
+    this->prefill.RecordCall(engine, aQueued.queuedTokens, aQueued.tokens, took);
+    if (aCounts) {
+      Score& score = aQueued.tokens > kLongTokens ? this->longPrompts : this->shortPrompts;
+      score.all += 1.0;
+      const auto delay = static_cast<double>(kFirstEventDelay.count());
+      score.inTime += tookMs + delay <= kObjectiveMs ? 1.0 : 0.0;
+    }
+  }
+
+public:
+  PrefillModel prefill;
+
+private:
+  FleetSnapshot fleet;
+  LoadTracker loads;
+  TargetHealth health;
+  TargetNotices notices;
+  TargetLimits limits;
+  core::MonotonicTime now{};
+  std::map<core::TargetId, double> rates;
+  std::map<core::TargetId, std::deque<Queued>> queues;
+  std::mt19937_64 random{ 11 };
+  std::uniform_real_distribution<double> uniform{ 0.0, 1.0 };
+};
+
 } // namespace
 
 // Guards against a spread of streams that leaves each connection idle until it cannot be reused.
@@ -211,3 +353,14 @@
   CHECK(reuse.Limit(kService) == 1s);
   CHECK(reuse.Limit(core::ServiceName("other")) == IdleReuse::kInitialLimit);
 }
+
+// Guards against gains of long prompts at the cost of all others; docs/DEVELOPERS.md states the
+// share of first tokens that have to be in time.
+TEST_CASE("prompts that are not long are in time at engines of uneven speed")
+{
+  PromptLoadPlay play;
+  play.Play(0.15);
+  MESSAGE("long prompts in time " << play.longPrompts.Share() << " of " << play.longPrompts.all);
+  MESSAGE("other prompts in time " << play.shortPrompts.Share());
+  CHECK(play.shortPrompts.Share() > 0.95);
+}
