--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <plantainslip/serving/connection_view.hpp>
+#include <plantainslip/serving/first_event_delay.hpp>
 #include <plantainslip/serving/load_tracker.hpp>
 #include <plantainslip/serving/prefill_model.hpp>
 #include <plantainslip/serving/target_health.hpp>
@@ -12,9 +13,6 @@
 
 namespace plantainslip::serving {
 
-/// @brief Time from the end of the prefill to the first event at the caller.
-inline constexpr milliseconds kFirstEventDelay{ 95 };
-
 /// @brief Inputs of placement other than the request.
 struct PlacementView
 {
@@ -22,6 +20,7 @@
   const LoadTracker& loads;
   const TargetHealth& health;
   const PrefillModel& prefill;
+  const FirstEventDelay& firstEvents;
   const TargetNotices& notices;
   const TargetLimits& limits;
   core::ZoneId ownZone;
@@ -52,6 +51,8 @@
   double tokens = 0.0;
   /// @brief Priority to send the prompt with.
   std::size_t priority = 0;
+  /// @brief Expected time from the end of the prefill to the first event at the caller.
+  milliseconds firstEventDelay{ 0 };
 };
 
 /// @brief Chooses the engine that prefills a prompt.
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -76,6 +76,7 @@
   TargetNotices notices = {};
   TargetLimits limits = {};
   PrefillModel prefill = {};
+  FirstEventDelay firstEvents = {};
   DemandMeter demand = {};
   RequestQuarantine quarantine = RequestQuarantine();
   IdleReuse idleReuse = {};
@@ -117,8 +118,9 @@
   /// @brief Returns the current input for placement decisions.
   PlacementView View() const
   {
-    PlacementView view{ *this->fleet,  this->loads,  this->health,  this->prefill,
-                        this->notices, this->limits, this->ownZone, this->clock.Now() };
+    PlacementView view{ *this->fleet,  this->loads,       this->health,
+                        this->prefill, this->firstEvents, this->notices,
+                        this->limits,  this->ownZone,     this->clock.Now() };
     view.connections = &this->pool;
     view.affinityKey = this->affinityKey;
     return view;
