--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -51,6 +51,7 @@
   LoadTracker loads;
   TargetHealth health;
   PrefillModel prefill;
+  FirstEventDelay firstEvents;
   TargetNotices notices;
   TargetLimits limits;
   core::MonotonicTime now{};
@@ -59,7 +60,7 @@
 
   PlacementView View() const
   {
-    return { this->fleet,   this->loads,  this->health,      this->prefill,
+    return { this->fleet,   this->loads,  this->health,      this->prefill, this->firstEvents,
              this->notices, this->limits, core::ZoneId("a"), this->now };
   }
 };
@@ -139,6 +140,30 @@
   }
 }
 
+// Guards against long prompts that stay at a slow home although another engine would be in time.
+TEST_CASE("a prompt leaves its home if it is in time only at a faster engine")
+{
+  Fixture fixture;
+  for (const char* id : { "p1", "p2", "p3" }) {
+    fixture.Add(Engine(id, "a", EngineStage::kPrefill));
+  }
+  const auto choose = [&](std::uint64_t aOwn) {
+    return ChoosePrefill(fixture.View(), kEngineService, Prompt(5'000, aOwn), 500ms, {})->target.id;
+  };
+  const core::TargetId home = choose(500);
+  for (const auto& [id, target] : fixture.fleet.targets) {
+    const milliseconds prefill = id == home ? 150ms : 75ms;
+    for (int call = 0; call < 200; ++call) {
+      fixture.prefill.RecordCall(id, 0.0, 10'000.0, PrefillModel::kCallOverhead + prefill);
+    }
+  }
+  CHECK(choose(500) == home);
+  // 420 ms at the home, which with the first event is late, and 210 ms elsewhere.
+  CHECK(choose(28'000) != home);
+  // 105 ms at the home is in time, so the gain of 50 ms is not worth a transfer.
+  CHECK(choose(7'000) == home);
+}
+
 TEST_CASE("leaving, tried and decoding engines are not chosen for prefill")
 {
   Fixture fixture;
@@ -408,6 +433,12 @@
   }
   CHECK(model.Duration(slow, 4'000.0).count() == doctest::Approx(100).epsilon(0.05));
   CHECK(model.Duration(fast, 4'000.0).count() == doctest::Approx(40).epsilon(0.05));
+  SUBCASE("an engine without calls is assumed to be as fast as the others are on average")
+  {
+    const auto duration =
+      static_cast<double>(model.Duration(core::TargetId("new"), 4'000.0).count());
+    CHECK(duration == doctest::Approx(70).epsilon(0.1));
+  }
   SUBCASE("calls that mostly waited in a queue hardly change the estimate")
   {
     for (int call = 0; call < 20; ++call) {
@@ -422,6 +453,23 @@
   }
 }
 
+// Guards against an estimate that a few slow decode engines raise for all prompts.
+TEST_CASE("the delay of the first event is learnt per service and follows the median")
+{
+  FirstEventDelay delays;
+  CHECK(delays.Delay(kEngineService) == FirstEventDelay::kInitial);
+  for (int event = 0; event < 400; ++event) {
+    constexpr int kSlowOneOf = 5;
+    delays.Record(kEngineService, event % kSlowOneOf == 0 ? 2'000ms : 60ms);
+  }
+  CHECK(delays.Delay(kEngineService).count() == doctest::Approx(60).epsilon(0.05));
+  CHECK(delays.Delay(kPlainService) == FirstEventDelay::kInitial);
+  for (int event = 0; event < 400; ++event) {
+    delays.Record(kEngineService, 5s);
+  }
+  CHECK(delays.Delay(kEngineService) == FirstEventDelay::kMax);
+}
+
 TEST_CASE("stages are planned for the whole service, with both stages in each zone")
 {
   FleetSnapshot fleet;
