--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -275,7 +275,7 @@
   this->reservations.push_back(std::move(ports));
   this->metrics = { "127.0.0.1", static_cast<std::uint16_t>(internalPort + 1) };
   const std::string name = "one-" + std::to_string(this->gateways.size());
-  const json settings = {
+  json settings = {
     { "node", name },
     { "zone", "a" },
     { "ip", "127.0.0.1" },
@@ -286,6 +286,10 @@
     { "bounds",
       { { "graceS", 8 }, { "leaseMs", 3'000 }, { "budgetRatio", 0.2 }, { "budgetSlack", 58 } } }
   };
+  if (this->memoryMegabytes > 0 || this->maxDescriptors > 0) {
+    settings["limits"] = { { "memoryMb", this->memoryMegabytes },
+                           { "maxFds", this->maxDescriptors } };
+  }
   const std::string file = "wire-fleet-" + std::to_string(::getpid()) + ".json";
   this->settingsPath = (std::filesystem::temp_directory_path() / file).string();
   std::ofstream(this->settingsPath) << settings.dump();
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -77,6 +77,13 @@
   /// @param aRoute  fields that differ from those of `/pay/`, in the platform's names
   void AddRoute(const std::string& aName, const nlohmann::json& aRoute);
 
+  /// @brief Sets the machine's limits in the settings of the instances started from now on.
+  void SetMachineLimits(std::uint64_t aMemoryMegabytes, std::uint64_t aMaxDescriptors)
+  {
+    this->memoryMegabytes = aMemoryMegabytes;
+    this->maxDescriptors = aMaxDescriptors;
+  }
+
   /// @brief Starts an instance of the gateway.
   /// @param aAwaitReady  whether to wait until it is ready
   ChildProcess& StartGateway(bool aAwaitReady = true);
@@ -133,6 +140,9 @@
   net::Address readiness;
   net::Address metrics;
   std::string settingsPath;
+  /// @brief Zero for settings without these limits.
+  std::uint64_t memoryMegabytes = 0;
+  std::uint64_t maxDescriptors = 0;
   std::chrono::milliseconds callerDeadline{ 5'000 };
   std::string callerVersion = "1.1";
   /// @brief Added routes by name, as JSON.
