Memory budget, connection shares and bounded streams for all listeners and pools

Trailers, bodies just short of their end and silent connections exhausted memory and descriptors: trailers were buffered without a limit, bodies kept to a limit each but not together, and connections were accepted until none could be opened. All bytes held for callers and targets now come from one budget per thread, derived from limits.memoryMb; at its end the account that holds most and progresses least gives up its bytes (503, not run). Connections keep to shares of limits.maxFds; silent ones are closed first. Chunk heads and trailers keep to the limit on heads, and a body brings 64 KB in each idle timeout or is refused.

The added case with clients that send before silent ones come was not run on the code before.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -4,11 +4,15 @@
 #include <csignal>
 #include <thread>
 
+#include <malloc.h>
+
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/serving/machine_shares.hpp>
 
 #include "control.hpp"
 #include "directory_wire.hpp"
 #include "http_listener.hpp"
+#include "limit_refusals.hpp"
 #include "load_exchange.hpp"
 #include "request_path.hpp"
 #include "spawn.hpp"
@@ -41,9 +45,12 @@
 class Gateway
 {
 public:
-  Gateway(const wire::Settings& aSettings, const GatewayOptions& aOptions)
+  Gateway(const wire::Settings& aSettings,
+          const GatewayOptions& aOptions,
+          const serving::MachineShares& aShares)
     : settings(aSettings)
     , ownOptions(aOptions)
+    , machineShares(aShares)
     , path{
       this->traffic.get_executor(), this->targetWire, this->clock, this->targetPool, this->metrics,
       this->settings.zone
@@ -70,21 +77,35 @@
   void ApplyUpdate(serving::ControlUpdate aUpdate);
   void UpdateRetryBudget(std::size_t aPeers);
 
-  static serving::PoolOptions TargetPoolOptions() { return {}; }
+  serving::PoolOptions PoolOptions(serving::MemoryBudget& aMemory, std::size_t aMaxOpen) const
+  {
+    serving::PoolOptions options;
+    options.memory = &aMemory;
+    options.maxOpen = aMaxOpen;
+    return options;
+  }
 
   wire::Settings settings;
   GatewayOptions ownOptions;
+  serving::MachineShares machineShares;
   core::SystemClock clock;
+  serving::PathMetrics metrics;
+  serving::LimitRefusals refusals{ this->metrics, this->clock };
+  /// @brief Memory of the traffic thread and of the control thread.
+  serving::MemoryBudget trafficMemory{ this->machineShares.trafficBytes, this->clock };
+  serving::MemoryBudget controlMemory{ this->machineShares.controlBytes, this->clock };
   asio::io_context traffic{ 1 };
   asio::io_context control{ 1 };
   serving::ConnectionPool targetPool{ this->traffic.get_executor(),
-                                      TargetPoolOptions(),
+                                      this->PoolOptions(this->trafficMemory,
+                                                        this->machineShares.targets),
                                       this->clock };
-  serving::ConnectionPool controlPool{ this->control.get_executor(), {}, this->clock };
+  serving::ConnectionPool controlPool{ this->control.get_executor(),
+                                       this->PoolOptions(this->controlMemory, 0),
+                                       this->clock };
   wire::TargetWire targetWire;
   wire::DirectoryWire directoryWire;
   wire::StoreWire store{ this->settings.store, this->controlPool };
-  serving::PathMetrics metrics;
   serving::PathContext path;
   std::unique_ptr<serving::Control> controller;
   std::unique_ptr<serving::HttpListener> callerListener;
@@ -171,6 +192,7 @@
   options.linkMbps = this->settings.linkMbps;
   options.targetHeartbeat = this->settings.targetHeartbeat;
   options.leaseDuration = this->settings.orderLeaseDuration;
+  options.changesLimits = { &this->controlMemory, this->machineShares.internal, &this->refusals };
   options.initialDecodeShare = this->ownOptions.initialDecodeShare;
   options.stageChangeCosts = this->ownOptions.stageChangeCosts;
   this->controller = std::make_unique<serving::Control>(
@@ -216,11 +238,13 @@
   this->exchange = std::move(*opened);
   const auto open = [this](std::unique_ptr<serving::HttpListener>& aListener,
                            const net::Address& aAddress,
+                           std::size_t aMaxConnections,
                            serving::RequestHandler aHandler) {
     auto listener =
       serving::HttpListener::Open(this->traffic, aAddress, this->clock, std::move(aHandler));
     if (listener.ok()) {
       aListener = std::move(*listener);
+      aListener->SetMachineLimits({ &this->trafficMemory, aMaxConnections, &this->refusals });
     }
     return listener.status();
   };
@@ -230,16 +254,19 @@
   const std::array<absl::Status, 3> statuses = {
     open(this->callerListener,
          this->settings.callers,
+         this->machineShares.callers,
          [this](const CallerRequest& aRequest, AnswerWriter& aWriter, Cancellation& aCancellation) {
            return serving::ServeRequest(this->path, aRequest, aWriter, aCancellation);
          }),
     open(this->readinessListener,
          this->settings.readiness,
+         this->machineShares.internal,
          [this](const CallerRequest& aRequest, AnswerWriter& aWriter, Cancellation&) {
            return this->ServeReadiness(aRequest, aWriter);
          }),
     open(this->metricsListener,
          this->settings.metrics,
+         this->machineShares.internal,
          [this](const CallerRequest&, AnswerWriter& aWriter, Cancellation&) {
            return this->ServeMetrics(aWriter);
          }),
@@ -326,8 +353,18 @@
 absl::Status
 RunGateway(const wire::Settings& aSettings, const GatewayOptions& aOptions)
 {
+  const auto shares = serving::DivideMachine(aSettings.memoryBytes, aSettings.maxDescriptors);
+  if (!shares.ok()) {
+    return shares.status();
+  }
+  if (aSettings.memoryBytes > 0) {
+    // Fixed, as the allocator would otherwise raise the threshold with each large block that is
+    // freed, and keep later ones of that size in fragmented arenas.
+    constexpr int kMinMappedBytes = 262'144;
+    (void)::mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+  }
   // Never destroyed: the contexts still hold coroutines that refer to the other members.
-  static Gateway& gateway = *new Gateway(aSettings, aOptions);
+  static Gateway& gateway = *new Gateway(aSettings, aOptions, *shares);
   return gateway.Run();
 }
 
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -18,6 +18,13 @@
 constexpr std::size_t kMaxReadAheadBytes = 65'536;
 /// A caller that does not acknowledge sent data for this long counts as disconnected.
 constexpr int kUserTimeoutMs = 10'000;
+/// Bytes of a body that have to arrive within each idle timeout; the last part may be smaller. Far
+/// below the share of a 10 Mbit/s link that each of a hundred callers has.
+constexpr std::uint64_t kMinBodyBytes = 65'536;
+/// Max bytes of chunk heads and trailers, besides a multiple of the body's own bytes. The smallest
+/// chunks take five bytes for each byte of the body.
+constexpr std::uint64_t kMaxFramingBytes = 65'536;
+constexpr std::uint64_t kMaxFramingRatio = 16;
 /// Max wait for the caller to close its end of a connection that was shut down here.
 constexpr std::chrono::milliseconds kCloseTimeout{ 500 };
 
@@ -26,6 +33,42 @@
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
 constexpr int kInternalError = 500;
+constexpr int kUnavailable = 503;
+
+/// Errors of receiving, besides those of the parser.
+const ErrorCode kFramingTooLarge = asio::error::make_error_code(asio::error::message_size);
+const ErrorCode kNoMemory = asio::error::make_error_code(asio::error::no_buffer_space);
+
+/// @brief Response to a request that was not received, and the limit that it is refused by.
+struct ReceiveRefusal
+{
+  int status = 0;
+  std::string limit;
+};
+
+// Returns the refusal for an error; without a status if the connection is to be closed.
+ReceiveRefusal
+RefusalOf(const ErrorCode& aError, bool aInBody)
+{
+  if (aError == asio::error::timed_out) {
+    return { kRequestTimeout, aInBody ? "body_pace" : "header_time" };
+  }
+  if (aError == http::error::header_limit) {
+    return { kHeadersTooLarge, "header_bytes" };
+  }
+  if (aError == http::error::body_limit) {
+    return { kPayloadTooLarge, "body_bytes" };
+  }
+  if (aError == kFramingTooLarge) {
+    return { kPayloadTooLarge, "framing_bytes" };
+  }
+  if (aError == kNoMemory) {
+    return { kUnavailable, "memory" };
+  }
+  const bool malformed =
+    aError.category() == http::make_error_code(http::error::bad_method).category();
+  return { malformed ? kBadRequest : 0, "" };
+}
 
 CallerRequest
 ToCallerRequest(http::request<http::string_body>&& aMessage, core::MonotonicTime aArrival)
@@ -48,22 +91,17 @@
   return request;
 }
 
-std::string
-FormatChunk(const std::string& aChunk)
-{
-  std::array<char, 20> length{};
-  const int written = std::snprintf(length.data(), length.size(), "%zx\r\n", aChunk.size());
-  return std::string(length.data(), static_cast<std::size_t>(written)) + aChunk + "\r\n";
-}
-
 } // namespace
 
 CallerSession::CallerSession(HttpListener& aListener, Tcp::socket aSocket)
   : listener(aListener)
   , socket(std::move(aSocket))
   , watchEnded(this->socket.get_executor())
+  , account(aListener.Memory(), [this] { this->Evict(); })
+  , unsentChanged(this->socket.get_executor())
 {
   this->listener.sessions.insert(this);
+  this->SetState(ConnectionState::kSilent);
   using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   ErrorCode ignored;
   this->socket.set_option(Tcp::no_delay(true), ignored);
@@ -73,14 +111,74 @@
 
 CallerSession::~CallerSession()
 {
+  this->SetState(ConnectionState::kClosed);
   this->listener.sessions.erase(this);
 }
 
+void
+CallerSession::SetState(ConnectionState aState)
+{
+  auto& lists = this->listener.byState;
+  const auto from = static_cast<std::size_t>(this->state);
+  const auto to = static_cast<std::size_t>(aState);
+  if (this->state == ConnectionState::kClosed && aState != ConnectionState::kClosed) {
+    if (!this->socket.is_open()) {
+      return;
+    }
+    this->position = lists.at(to).insert(lists.at(to).end(), this);
+  } else if (this->state != ConnectionState::kClosed && aState == ConnectionState::kClosed) {
+    lists.at(from).erase(this->position);
+  } else if (aState != ConnectionState::kClosed) {
+    lists.at(to).splice(lists.at(to).end(), lists.at(from), this->position);
+  }
+  this->state = aState;
+  this->stateSince = this->listener.clock.Now();
+}
+
+// The coroutine that receives or sends for this connection is waiting for its socket, so what it
+// works on can be freed; it finds the account evicted when it goes on.
+void
+CallerSession::Evict()
+{
+  if (this->receiving != nullptr) {
+    FreeText(this->receiving->get().body());
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
+    ErrorCode ignored;
+    this->socket.cancel(ignored);
+    return;
+  }
+  this->listener.CountRefusal("unread_memory");
+  this->Close();
+  FreeText(this->unsent);
+  this->unsentBegin = 0;
+  if (this->cancellation != nullptr) {
+    this->cancellation->Cancel(CancelReason::kCallerLeft);
+  }
+}
+
+void
+CallerSession::StopWait()
+{
+  ErrorCode ignored;
+  this->socket.cancel(ignored);
+}
+
+bool
+CallerSession::ReserveForRead()
+{
+  const std::uint64_t body = this->receiving == nullptr ? 0 : this->receiving->get().body().size();
+  const std::uint64_t buffered =
+    std::max(this->buffer.capacity(), this->buffer.size() + kReadBufferBytes);
+  return this->account.Resize(body + buffered + this->heldRequest);
+}
+
 void
 CallerSession::Close()
 {
   ErrorCode ignored;
   this->socket.close(ignored);
+  this->SetState(ConnectionState::kClosed);
 }
 
 void
@@ -103,16 +201,23 @@
 Task<ErrorCode>
 CallerSession::Receive()
 {
+  if (!this->ReserveForRead()) {
+    co_return kNoMemory;
+  }
   ErrorCode error;
   std::size_t count = this->socket.read_some(this->buffer.prepare(kReadBufferBytes), error);
   if (error == asio::error::would_block) {
     co_await this->socket.async_wait(Tcp::socket::wait_read, RedirectError(error));
+    if (this->account.IsEvicted()) {
+      co_return kNoMemory;
+    }
     if (error) {
       co_return error;
     }
     count = this->socket.read_some(this->buffer.prepare(kReadBufferBytes), error);
   }
   this->buffer.commit(count);
+  this->account.RecordProgress(count);
   co_return error == asio::error::would_block ? ErrorCode() : error;
 }
 
@@ -131,52 +236,95 @@
   co_return true;
 }
 
-// Reads until the parser has a whole head, or with aWholeMessage the body too.
 Task<ErrorCode>
-CallerSession::Parse(Parser& aParser, bool aWholeMessage, std::chrono::nanoseconds aTimeout)
+CallerSession::ParseSome(Parser& aParser, std::uint64_t& aConsumed, const TimeLimit& aLimit)
 {
-  const TimeLimit limit(this->socket.get_executor(), aTimeout, [this] {
-    ErrorCode ignored;
-    this->socket.cancel(ignored);
-  });
-  aParser.eager(aWholeMessage);
-  while (!(aWholeMessage ? aParser.is_done() : aParser.is_header_done())) {
-    ErrorCode error = http::error::need_more;
-    if (this->buffer.size() > 0) {
-      error = {};
-      this->buffer.consume(aParser.put(this->buffer.data(), error));
+  ErrorCode error = http::error::need_more;
+  if (this->buffer.size() > 0) {
+    error = {};
+    const std::size_t consumed = aParser.put(this->buffer.data(), error);
+    this->buffer.consume(consumed);
+    aConsumed += consumed;
+  }
+  if (error == http::error::need_more) {
+    if (aLimit.Expired()) {
+      co_return asio::error::timed_out;
     }
-    if (error == http::error::need_more) {
-      if (limit.Expired()) {
-        co_return asio::error::timed_out;
-      }
-      error = co_await this->Receive();
-      if (error == asio::error::operation_aborted && limit.Expired()) {
-        error = asio::error::timed_out;
-      }
+    error = co_await this->Receive();
+    if (error == asio::error::operation_aborted && aLimit.Expired()) {
+      error = asio::error::timed_out;
+    }
+  }
+  co_return error;
+}
+
+Task<ErrorCode>
+CallerSession::ParseHead(Parser& aParser)
+{
+  const TimeLimit limit(
+    this->socket.get_executor(), this->listener.limits.headerTimeout, [this] { this->StopWait(); });
+  aParser.eager(false);
+  std::uint64_t consumed = 0;
+  while (!aParser.is_header_done()) {
+    const ErrorCode error = co_await this->ParseSome(aParser, consumed, limit);
+    if (error) {
+      co_return error;
     }
+  }
+  this->heldRequest = consumed;
+  co_return ErrorCode();
+}
+
+// The bytes that remain buffered are the beginning of a chunk head or of the trailers, as the
+// parser takes all bytes of a body.
+Task<ErrorCode>
+CallerSession::ParseBody(Parser& aParser)
+{
+  const auto stop = [this] { this->StopWait(); };
+  std::optional<TimeLimit> limit;
+  limit.emplace(this->socket.get_executor(), this->listener.limits.idleTimeout, stop);
+  aParser.eager(true);
+  std::uint64_t consumed = 0;
+  std::size_t bodyAtLimit = 0;
+  while (!aParser.is_done()) {
+    const ErrorCode error = co_await this->ParseSome(aParser, consumed, *limit);
     if (error) {
       co_return error;
     }
+    const std::size_t body = aParser.get().body().size();
+    const bool framingFits =
+      consumed <= body + kMaxFramingBytes + kMaxFramingRatio * body &&
+      this->buffer.size() <= this->listener.limits.headerBytes + kReadBufferBytes;
+    if (aParser.chunked() && !framingFits) {
+      co_return kFramingTooLarge;
+    }
+    if (body - bodyAtLimit >= kMinBodyBytes) {
+      bodyAtLimit = body;
+      limit.emplace(this->socket.get_executor(), this->listener.limits.idleTimeout, stop);
+    }
   }
   co_return ErrorCode();
 }
 
 Task<void>
-CallerSession::RefuseBadRequest(ErrorCode aError)
+CallerSession::RefuseBadRequest(ErrorCode aError, bool aInBody)
 {
   this->keepAlive = false;
-  int status = kBadRequest;
-  if (aError == asio::error::timed_out) {
-    status = kRequestTimeout;
-  } else if (aError == http::error::header_limit) {
-    status = kHeadersTooLarge;
-  } else if (aError == http::error::body_limit) {
-    status = kPayloadTooLarge;
-  } else if (aError.category() != http::make_error_code(http::error::bad_method).category()) {
+  this->receiving = nullptr;
+  this->account.SetEvictable(false);
+  const ReceiveRefusal refusal = RefusalOf(aError, aInBody);
+  if (!refusal.limit.empty()) {
+    this->listener.CountRefusal(refusal.limit);
+  }
+  if (refusal.status == 0) {
     co_return;
   }
-  co_await this->WriteWhole(status, HeaderList(), std::string());
+  HeaderList headers;
+  if (refusal.status == kUnavailable) {
+    headers.push_back({ "Retry-After", "1" });
+  }
+  std::string empty;
+  co_await this->WriteWhole(refusal.status, std::move(headers), std::move(empty));
 }
 
 Task<bool>
@@ -190,9 +338,11 @@
       co_return false;
     }
   }
-  const ErrorCode error = co_await this->Parse(aParser, true, this->listener.limits.idleTimeout);
+  const ErrorCode error = co_await this->ParseBody(aParser);
   if (error) {
-    co_await this->RefuseBadRequest(error);
+    // What has arrived is freed before the refusal is written.
+    FreeText(aParser.get().body());
+    co_await this->RefuseBadRequest(error, true);
     co_return false;
   }
   co_return true;
@@ -208,13 +358,15 @@
     co_return std::nullopt;
   }
   this->busy = true;
+  this->SetState(ConnectionState::kReceiving);
   const core::MonotonicTime arrival = this->listener.clock.Now();
   Parser parser;
+  const ReceiveScope receiveScope(*this, parser);
   parser.header_limit(this->listener.limits.headerBytes);
   parser.body_limit(this->listener.limits.bodyBytes);
-  const ErrorCode error = co_await this->Parse(parser, false, this->listener.limits.headerTimeout);
+  const ErrorCode error = co_await this->ParseHead(parser);
   if (error) {
-    co_await this->RefuseBadRequest(error);
+    co_await this->RefuseBadRequest(error, false);
     co_return std::nullopt;
   }
   this->keepAlive = parser.keep_alive();
@@ -227,6 +379,8 @@
     }
   }
   this->omitBody = parser.get().method() == http::verb::head;
+  this->heldRequest += parser.get().body().size();
+  this->account.Hold(this->heldRequest + this->buffer.capacity());
   co_return ToCallerRequest(parser.release(), arrival);
 }
 
@@ -238,7 +392,12 @@
   while (!this->watchStopped && this->buffer.size() < kMaxReadAheadBytes) {
     const ErrorCode error = co_await this->Receive();
     if (error) {
-      if (error != asio::error::operation_aborted) {
+      if (error == asio::error::operation_aborted && !this->watchStopped &&
+          this->socket.is_open()) {
+        continue;
+      }
+      // Without memory for further requests they stay in the socket.
+      if (error != asio::error::operation_aborted && error != kNoMemory) {
         this->keepAlive = false;
         this->cancellation->Cancel(CancelReason::kCallerLeft);
       }
@@ -291,6 +450,18 @@
   this->cancellation = nullptr;
 }
 
+void
+CallerSession::EndRequest()
+{
+  this->heldRequest = 0;
+  this->account.SetEvictable(false);
+  // An idle connection keeps no buffer where memory is limited.
+  if (this->listener.Memory().IsLimited() && this->buffer.size() == 0) {
+    this->buffer.shrink_to_fit();
+  }
+  this->account.Hold(this->buffer.capacity());
+}
+
 Task<void>
 CallerSession::Run()
 {
@@ -300,11 +471,14 @@
     if (!request.has_value()) {
       break;
     }
+    this->SetState(ConnectionState::kServing);
     co_await this->ServeOne(*request);
+    this->EndRequest();
     if (!this->answerComplete || !this->keepAlive) {
       break;
     }
     this->busy = false;
+    this->SetState(ConnectionState::kIdle);
   }
   co_await this->CloseGracefully();
 }
@@ -327,88 +501,4 @@
   this->Close();
 }
 
-void
-CallerSession::SetResetOnClose(bool aReset)
-{
-  ErrorCode ignored;
-  this->socket.set_option(asio::socket_base::linger(aReset, 0), ignored);
-}
-
-Task<bool>
-CallerSession::Write(std::string aBytes)
-{
-  ErrorCode error;
-  std::optional<Cancellation::Scope> scope;
-  if (this->cancellation != nullptr && this->answerStarted) {
-    // A caller that does not read must not hold the request past its deadline.
-    scope.emplace(*this->cancellation, [this] { this->Close(); });
-  }
-  co_await asio::async_write(this->socket, asio::buffer(aBytes), RedirectError(error));
-  if (error && this->cancellation != nullptr) {
-    this->cancellation->Cancel(CancelReason::kCallerLeft);
-  }
-  co_return !error;
-}
-
-Task<bool>
-CallerSession::WriteWhole(int aStatus, HeaderList aHeaders, std::string aBody)
-{
-  this->keepAlive = this->keepAlive && !this->listener.draining;
-  aHeaders.push_back({ "Content-Length", std::to_string(aBody.size()) });
-  if (!this->keepAlive) {
-    aHeaders.push_back({ "Connection", "close" });
-  }
-  std::string bytes = FormatResponseHead(aStatus, aHeaders);
-  if (!this->omitBody) {
-    bytes += aBody;
-  }
-  this->answerComplete = co_await this->Write(std::move(bytes));
-  this->answerStarted = true;
-  co_return this->answerComplete;
-}
-
-Task<bool>
-CallerSession::BeginStream(int aStatus, HeaderList aHeaders)
-{
-  this->keepAlive = this->keepAlive && !this->listener.draining && this->chunked;
-  if (this->chunked) {
-    aHeaders.push_back({ "Transfer-Encoding", "chunked" });
-  }
-  if (!this->keepAlive) {
-    aHeaders.push_back({ "Connection", "close" });
-  }
-  this->answerStarted = true;
-  this->SetResetOnClose(!this->chunked);
-  std::string head = FormatResponseHead(aStatus, aHeaders);
-  const bool written = co_await this->Write(std::move(head));
-  co_return written;
-}
-
-Task<bool>
-CallerSession::WriteChunk(std::string aChunk)
-{
-  std::string bytes = this->chunked ? FormatChunk(aChunk) : std::move(aChunk);
-  const bool written = co_await this->Write(std::move(bytes));
-  co_return written;
-}
-
-Task<bool>
-CallerSession::EndStream()
-{
-  this->answerComplete = true;
-  this->SetResetOnClose(false);
-  if (this->chunked) {
-    std::string lastChunk = "0\r\n\r\n";
-    this->answerComplete = co_await this->Write(std::move(lastChunk));
-  }
-  co_return this->answerComplete;
-}
-
-void
-CallerSession::Abort()
-{
-  this->keepAlive = false;
-  this->Close();
-}
-
 } // namespace plantainslip::serving
--- a/src/serving/connection_pool.cpp
+++ b/src/serving/connection_pool.cpp
@@ -59,11 +59,32 @@
   return nullptr;
 }
 
+// Linear in the number of addresses. Without an idle connection the limit is exceeded: connections
+// in use are bounded by the number of requests.
+void
+ConnectionPool::CloseLongestIdle()
+{
+  std::deque<IdleConnection>* longest = nullptr;
+  for (auto& [address, connections] : this->idle) {
+    if (!connections.empty() &&
+        (longest == nullptr || connections.front().idleSince < longest->front().idleSince)) {
+      longest = &connections;
+    }
+  }
+  if (longest != nullptr) {
+    longest->pop_front();
+  }
+}
+
 Task<ConnectionPool::ConnectResult>
 ConnectionPool::Connect(const net::Address& aAddress, Cancellation& aCancellation)
 {
   ConnectResult result;
-  auto connection = std::make_unique<OutgoingConnection>(this->executor);
+  if (this->options.maxOpen > 0 && *this->open >= this->options.maxOpen) {
+    this->CloseLongestIdle();
+  }
+  MemoryBudget& memory = this->options.memory == nullptr ? this->unlimited : *this->options.memory;
+  auto connection = std::make_unique<OutgoingConnection>(this->executor, memory, this->open);
   Tcp::socket& socket = connection->socket;
   const Tcp::endpoint endpoint(asio::ip::make_address_v4(aAddress.host, result.error),
                                aAddress.port);
--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -9,6 +9,7 @@
 
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/net/address.hpp>
+#include <plantainslip/serving/memory_budget.hpp>
 
 #include "cancellation.hpp"
 
@@ -21,12 +22,24 @@
   ///        a peer that sends more without an end is cut off.
   static constexpr std::size_t kMaxBufferedBytes = 131'072;
 
-  explicit OutgoingConnection(const asio::any_io_executor& aExecutor)
+  /// @param aOpen  counts the connection during its lifetime
+  OutgoingConnection(const asio::any_io_executor& aExecutor,
+                     MemoryBudget& aMemory,
+                     std::shared_ptr<std::size_t> aOpen)
     : socket(aExecutor)
+    , account(aMemory)
+    , open(std::move(aOpen))
   {
+    ++*this->open;
   }
+  ~OutgoingConnection() { --*this->open; }
+  OutgoingConnection(const OutgoingConnection&) = delete;
+  OutgoingConnection& operator=(const OutgoingConnection&) = delete;
 
   Tcp::socket socket;
+  /// @brief Bytes of a response that is read whole.
+  MemoryBudget::Account account;
+  std::shared_ptr<std::size_t> open;
   /// @brief Bytes that were received and not parsed yet.
   boost::beast::flat_buffer buffer{ kMaxBufferedBytes };
   /// @brief Whether it has carried a response before.
@@ -40,6 +53,10 @@
   std::chrono::milliseconds connectTimeout{ 400 };
   /// @brief Max number of idle connections per address.
   std::size_t maxIdlePerAddress = 8;
+  /// @brief Number of connections from which idle ones are closed for new ones; zero for no limit.
+  std::size_t maxOpen = 0;
+  /// @brief Limits the responses that are read whole; null for no limit.
+  MemoryBudget* memory = nullptr;
   /// @brief Max time that a connection is kept idle; half the time its peer states, if shorter.
   std::chrono::milliseconds idleLifetime{ 4'000 };
   /// @brief Time after which unacknowledged data closes the connection (TCP_USER_TIMEOUT).
@@ -93,6 +110,7 @@
     bool timedOut = false;
   };
 
+  void CloseLongestIdle();
   std::unique_ptr<OutgoingConnection> AcquireIdle(const net::Address& aAddress,
                                                   std::chrono::milliseconds aMaxIdle);
   Task<ConnectResult> Connect(const net::Address& aAddress, Cancellation& aCancellation);
@@ -100,6 +118,8 @@
   asio::any_io_executor executor;
   PoolOptions options;
   const core::Clock& clock;
+  MemoryBudget unlimited{ 0, this->clock };
+  std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(0);
   std::map<net::Address, std::deque<IdleConnection>> idle;
 };
 
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -84,6 +84,7 @@
     return server.status();
   }
   this->changesServer = std::move(*server);
+  this->changesServer->SetMachineLimits(this->options.changesLimits);
   const auto run = [this](const char* aName, std::function<Task<void>()> aLoop) {
     SpawnLoop(this->context, aName, std::move(aLoop));
   };
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -13,6 +13,7 @@
 
 #include "async_store.hpp"
 #include "directory_codec.hpp"
+#include "http_listener.hpp"
 #include "store_follower.hpp"
 
 namespace plantainslip::serving {
@@ -56,6 +57,8 @@
   ///        if not set.
   std::optional<double> initialDecodeShare;
   StageChangeCosts stageChangeCosts = {};
+  /// @brief Limits of the connections on which peers read changes of the store.
+  ListenerLimits changesLimits = {};
 };
 
 /// @brief Follows the store, maintains the instance's entry there, and sends orders while it holds
--- a/src/serving/http_listener.cpp
+++ b/src/serving/http_listener.cpp
@@ -14,6 +14,10 @@
 
 /// Delay after a failed accept, which is mostly caused by a lack of file descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 20 };
+/// Min time between two log lines on failed accepts.
+constexpr std::chrono::seconds kAcceptLogInterval{ 1 };
+/// A request that has been arriving for less than this is not cut off for a new connection.
+constexpr std::chrono::seconds kMinReceivingTime{ 1 };
 
 } // namespace
 
@@ -54,11 +58,83 @@
 
 HttpListener::~HttpListener() = default;
 
+MemoryBudget&
+HttpListener::Memory()
+{
+  return this->machineLimits.memory == nullptr ? this->unlimited : *this->machineLimits.memory;
+}
+
+void
+HttpListener::CountRefusal(const std::string& aLimit)
+{
+  if (this->machineLimits.refusals != nullptr) {
+    this->machineLimits.refusals->Record(aLimit);
+  }
+}
+
+std::size_t
+HttpListener::CountOpen() const
+{
+  std::size_t count = 0;
+  for (const auto& connections : this->byState) {
+    count += connections.size();
+  }
+  return count;
+}
+
+// Callers reuse connections that have been idle for up to four fifths of the idle timeout; the ones
+// that have waited longest come first, so those that callers still use are closed last.
+bool
+HttpListener::CloseOne()
+{
+  const core::MonotonicTime now = this->clock.Now();
+  for (const auto state : { ConnectionState::kSilent, ConnectionState::kIdle }) {
+    for (CallerSession* const session : this->byState.at(static_cast<std::size_t>(state))) {
+      if (!session->Busy()) {
+        this->CountRefusal(state == ConnectionState::kSilent ? "silent_connection"
+                                                             : "idle_connection");
+        session->Close();
+        return true;
+      }
+    }
+  }
+  const auto& receiving = this->byState.at(static_cast<std::size_t>(ConnectionState::kReceiving));
+  if (receiving.empty() || now - receiving.front()->StateSince() < kMinReceivingTime) {
+    return false;
+  }
+  this->CountRefusal("receiving_connection");
+  receiving.front()->Close();
+  return true;
+}
+
+// Waits for a connection while as many as allowed are open, and makes room for it. Returns false if
+// the listener was closed.
+Task<bool>
+HttpListener::AwaitRoom()
+{
+  const std::size_t limit = this->machineLimits.maxConnections;
+  while (limit > 0 && this->CountOpen() >= limit) {
+    ErrorCode error;
+    co_await this->acceptor.async_wait(Tcp::acceptor::wait_read, RedirectError(error));
+    if (!this->acceptor.is_open()) {
+      co_return false;
+    }
+    if (error || (this->CountOpen() >= limit && !this->CloseOne())) {
+      co_await SleepFor(kAcceptRetryDelay);
+    }
+  }
+  co_return true;
+}
+
 Task<void>
 HttpListener::Accept()
 {
   // A connection may have been accepted before Close() and be handled after it.
   while (this->acceptor.is_open()) {
+    const bool hasRoom = co_await this->AwaitRoom();
+    if (!hasRoom) {
+      co_return;
+    }
     ErrorCode error;
     Tcp::socket socket(this->context);
     co_await this->acceptor.async_accept(socket, RedirectError(error));
@@ -66,7 +142,13 @@
       co_return;
     }
     if (error) {
-      core::Log(core::LogLevel::kWarning, "accept failed", { { "error", error.message() } });
+      if (this->clock.Now() - this->failureLoggedAt >= kAcceptLogInterval) {
+        this->failureLoggedAt = this->clock.Now();
+        core::Log(core::LogLevel::kWarning, "accept failed", { { "error", error.message() } });
+      }
+      if (error == asio::error::no_descriptors && this->CloseOne()) {
+        continue;
+      }
       asio::steady_timer retryTimer(this->context, kAcceptRetryDelay);
       co_await retryTimer.async_wait(RedirectError(error));
       continue;
--- a/src/serving/target_call.cpp
+++ b/src/serving/target_call.cpp
@@ -184,6 +184,9 @@
 {
   std::string body;
   while (true) {
+    if (!this->connection->account.Resize(body.size() + this->readBuffer.size())) {
+      co_return core::MakeError(errors::kBadAnswer, "no memory for the answer");
+    }
     const absl::StatusOr<bool> more = co_await this->ReadSome(body);
     if (!more.ok()) {
       co_return more.status();
@@ -206,6 +209,7 @@
   if (!reusable) {
     return;
   }
+  this->connection->account.Hold(0);
   const auto keepAlive = this->parser->get()["Keep-Alive"];
   const auto lifetime = ParseKeepAliveTimeout(std::string_view(keepAlive.data(), keepAlive.size()));
   aPool.Release(aAddress, std::move(this->connection), lifetime);
--- a/tests/src/process-abusive-clients.cpp
+++ b/tests/src/process-abusive-clients.cpp
@@ -205,3 +205,23 @@
   }
   machine.Check();
 }
+
+// Guards against silent connections that hide the others, because they have displaced them before
+// they sent anything.
+TEST_CASE("abusive clients that send before silent ones come leave an instance within its limits")
+{
+  SmallMachine machine;
+  {
+    AbusiveClients sending(machine.fleet.Callers());
+    for (const ClientScript& script :
+         { EndlessTrailers(), LargeChunks(), TinyChunks(), LengthStated(), OverLimitSent() }) {
+      sending.Open(5, script);
+    }
+    sending.SendAll();
+    machine.Check();
+    AbusiveClients silent(machine.fleet.Callers());
+    silent.Open(200, {});
+    machine.Check();
+  }
+  machine.Check();
+}
