--- a/tests/harness/abusive_clients.cpp
+++ b/tests/harness/abusive_clients.cpp
@@ -99,6 +99,7 @@
   while (true) {
     std::vector<pollfd> entries;
     std::erase_if(sending, [](Client* aClient) { return !SendSome(*aClient); });
+    entries.reserve(sending.size());
     for (const Client* client : sending) {
       entries.push_back({ client->socket, POLLOUT, 0 });
     }
