--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -4,13 +4,17 @@
 #include <csignal>
 #include <thread>
 
+#include <malloc.h>
+
 #include <plantainslip/core/log.hpp>
+#include <plantainslip/serving/machine_shares.hpp>
 #include <plantainslip/workspaces/key_table.hpp>
 
 #include "control.hpp"
 #include "directory_wire.hpp"
 #include "duty_wire.hpp"
 #include "http_listener.hpp"
+#include "limit_refusals.hpp"
 #include "load_exchange.hpp"
 #include "request_path.hpp"
 #include "spawn.hpp"
@@ -44,9 +48,12 @@
 class Gateway
 {
 public:
-  Gateway(const wire::Settings& aSettings, const GatewayOptions& aOptions)
+  Gateway(const wire::Settings& aSettings,
+          const GatewayOptions& aOptions,
+          const serving::MachineShares& aShares)
     : settings(aSettings)
     , ownOptions(aOptions)
+    , machineShares(aShares)
     , path{
       this->traffic.get_executor(), this->targetWire, this->clock, this->targetPool, this->metrics,
       this->settings.zone
@@ -77,27 +84,40 @@
   void CountWorkspaces();
   void CountUsage();
 
-  static serving::PoolOptions TargetPoolOptions()
+  serving::PoolOptions PoolOptions(serving::MemoryBudget& aMemory,
+                                   std::size_t aMaxOpen,
+                                   milliseconds aStatedLifetime) const
   {
     serving::PoolOptions options;
-    options.statedLifetime = std::chrono::minutes(1);
+    options.memory = &aMemory;
+    options.maxOpen = aMaxOpen;
+    options.statedLifetime = aStatedLifetime;
     return options;
   }
 
   wire::Settings settings;
   GatewayOptions ownOptions;
+  serving::MachineShares machineShares;
   core::SystemClock clock;
+  serving::PathMetrics metrics;
+  serving::LimitRefusals refusals{ this->metrics, this->clock };
+  /// @brief Memory of the traffic thread and of the control thread.
+  serving::MemoryBudget trafficMemory{ this->machineShares.trafficBytes, this->clock };
+  serving::MemoryBudget controlMemory{ this->machineShares.controlBytes, this->clock };
   asio::io_context traffic{ 1 };
   asio::io_context control{ 1 };
-  serving::ConnectionPool targetPool{ this->traffic.get_executor(),
-                                      TargetPoolOptions(),
-                                      this->clock };
-  serving::ConnectionPool controlPool{ this->control.get_executor(), {}, this->clock };
+  serving::ConnectionPool targetPool{
+    this->traffic.get_executor(),
+    this->PoolOptions(this->trafficMemory, this->machineShares.targets, std::chrono::minutes(1)),
+    this->clock
+  };
+  serving::ConnectionPool controlPool{ this->control.get_executor(),
+                                       this->PoolOptions(this->controlMemory, 0, milliseconds(0)),
+                                       this->clock };
   wire::TargetWire targetWire;
   wire::DirectoryWire directoryWire;
   wire::DutyWire dutyWire;
   wire::StoreWire store{ this->settings.store, this->controlPool };
-  serving::PathMetrics metrics;
   serving::PathContext path;
   std::unique_ptr<serving::Control> controller;
   std::unique_ptr<serving::HttpListener> callerListener;
@@ -221,6 +241,7 @@
   options.linkMbps = this->settings.linkMbps;
   options.targetHeartbeat = this->settings.targetHeartbeat;
   options.leaseDuration = this->settings.orderLeaseDuration;
+  options.changesLimits = { &this->controlMemory, this->machineShares.internal, &this->refusals };
   options.initialDecodeShare = this->ownOptions.initialDecodeShare;
   options.stageChangeCosts = this->ownOptions.stageChangeCosts;
   if (this->settings.platformCalls.has_value()) {
@@ -276,11 +297,13 @@
   this->CountUsage();
   const auto open = [this](std::unique_ptr<serving::HttpListener>& aListener,
                            const net::Address& aAddress,
+                           std::size_t aMaxConnections,
                            serving::RequestHandler aHandler) {
     auto listener =
       serving::HttpListener::Open(this->traffic, aAddress, this->clock, std::move(aHandler));
     if (listener.ok()) {
       aListener = std::move(*listener);
+      aListener->SetMachineLimits({ &this->trafficMemory, aMaxConnections, &this->refusals });
     }
     return listener.status();
   };
@@ -290,16 +313,19 @@
   const std::array<absl::Status, 3> statuses = {
     open(this->callerListener,
          this->settings.callers,
+         this->machineShares.callers,
          [this](const CallerRequest& aRequest, AnswerWriter& aWriter, Cancellation& aCancellation) {
            return serving::ServeRequest(this->path, aRequest, aWriter, aCancellation);
          }),
     open(this->readinessListener,
          this->settings.readiness,
+         this->machineShares.internal,
          [this](const CallerRequest& aRequest, AnswerWriter& aWriter, Cancellation&) {
            return this->ServeReadiness(aRequest, aWriter);
          }),
     open(this->metricsListener,
          this->settings.metrics,
+         this->machineShares.internal,
          [this](const CallerRequest&, AnswerWriter& aWriter, Cancellation&) {
            return this->ServeMetrics(aWriter);
          }),
@@ -387,8 +413,18 @@
 absl::Status
 RunGateway(const wire::Settings& aSettings, const GatewayOptions& aOptions)
 {
+  const auto shares = serving::DivideMachine(aSettings.memoryBytes, aSettings.maxDescriptors);
+  if (!shares.ok()) {
+    return shares.status();
+  }
+  if (aSettings.memoryBytes > 0) {
+    // Fixed, as the allocator would otherwise raise the threshold with each large block that is
+    // freed, and keep later ones of that size in fragmented arenas.
+    constexpr int kMinMappedBytes = 262'144;
+    (void)::mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+  }
   // Never destroyed: the contexts still hold coroutines that refer to the other members.
-  static Gateway& gateway = *new Gateway(aSettings, aOptions);
+  static Gateway& gateway = *new Gateway(aSettings, aOptions, *shares);
   return gateway.Run();
 }
 
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -324,12 +324,11 @@
 {
   const core::ZoneId& zone =
     this->cachedPrompt.has_value() ? this->cachedPrompt->engine.zone : this->context.ownZone;
-  return ChooseDecode(
-    this->View(AttemptStep::kDecode),
-    this->request.service.name,
-    zone,
-    this->triedDecodeEngines,
-    aTokens);
+  return ChooseDecode(this->View(AttemptStep::kDecode),
+                      this->request.service.name,
+                      zone,
+                      this->triedDecodeEngines,
+                      aTokens);
 }
 
 std::optional<Target>
@@ -374,8 +373,7 @@
   const double memory = EngineMemory(*this->context.fleet, this->request.service.name);
   if (memory > 0.0 && this->HeldTokens() > memory) {
     std::string reason = "larger_than_engine";
-    co_await Refuse(
-      this->context, this->request, kUnavailable, std::move(reason), milliseconds(0));
+    co_await Refuse(this->context, this->request, kUnavailable, std::move(reason), milliseconds(0));
     co_return true;
   }
   const auto fullAt = this->context.memoryFullAt.find(this->request.service.name);
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -14,6 +14,7 @@
 #include "async_store.hpp"
 #include "directory_codec.hpp"
 #include "duty_caller.hpp"
+#include "http_listener.hpp"
 #include "lease_keeper.hpp"
 #include "store_follower.hpp"
 
@@ -64,6 +65,8 @@
   /// @brief Absent if the deployment has no address for platform calls; orders to targets then
   ///        follow the lease as they do without duties.
   std::optional<PlatformCallOptions> platformCalls;
+  /// @brief Limits of the connections on which peers read changes of the store.
+  ListenerLimits changesLimits = {};
 };
 
 /// @brief Follows the store, maintains the instance's entry there, and sends orders while it holds
