--- a/src/serving/usage_duty.cpp
+++ b/src/serving/usage_duty.cpp
@@ -173,7 +173,7 @@
     }
     const PlatformCall call = this->codec.UsageReport(window.Number(), *aWindow.counts);
     found = this->reports.emplace(window, Report{ call.body }).first;
-    this->metrics.Set("usage_instances_missing", aWindow.missingInstances);
+    this->metrics.Set("usage_instances_missing", "", aWindow.missingInstances);
   }
   const bool hasLease = co_await this->EnsureLease();
   if (!hasLease) {
