--- a/src/scaling/scaling_duty.hpp
+++ b/src/scaling/scaling_duty.hpp
@@ -51,6 +51,7 @@
     /// @brief Most that served since the last order.
     std::uint64_t mostServing = 0;
     std::optional<Order> order;
+    std::optional<core::MonotonicTime> loweredAt;
     core::MonotonicTime unavailableUntil;
   };
 
@@ -94,6 +95,7 @@
   serving::Task<bool> OrderOnce(serving::DutyCalls& aCalls,
                                 const serving::DutyInput& aInput,
                                 const serving::Service& aService);
+  /// @brief Sends an order, again after a pause while the call rate does not allow it.
   serving::Task<serving::CallOutcome> Send(serving::DutyCalls& aCalls,
                                            core::ServiceName aService,
                                            Wanted aWanted);
--- a/src/serving/path_metrics.cpp
+++ b/src/serving/path_metrics.cpp
@@ -28,6 +28,13 @@
   }
 }
 
+void
+PathMetrics::Set(const std::string& aName, std::uint64_t aValue)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->gauges[aName] = aValue;
+}
+
 std::string
 PathMetrics::Format() const
 {
@@ -37,6 +44,10 @@
   const std::scoped_lock lock(this->mutex);
   AppendValues(text, this->counters, "counter");
   AppendValues(text, this->labelledGauges, "gauge");
+  for (const auto& [name, value] : this->gauges) {
+    text.append("# TYPE plantainslip_").append(name).append(" gauge\nplantainslip_").append(name);
+    text.append(" ").append(std::to_string(value)).append("\n");
+  }
   return text;
 }
 
--- a/src/serving/path_metrics.hpp
+++ b/src/serving/path_metrics.hpp
@@ -19,11 +19,14 @@
   /// @param aLabel  value of the label `kind`
   void Count(const std::string& aName, const std::string& aLabel);
 
-  /// @brief Sets a gauge. Logarithmic in the number of gauges.
+  /// @brief Sets a gauge with a label. Logarithmic in the number of gauges.
   /// @param aName  name of the metric without its prefix, such as `scaling_desired`
   /// @param aLabel  value of the label `kind`
   void Set(const std::string& aName, const std::string& aLabel, std::uint64_t aValue);
 
+  /// @brief Sets a gauge, which has no label. Logarithmic in the number of gauges.
+  void Set(const std::string& aName, std::uint64_t aValue);
+
   /// @brief Formats all metrics in the Prometheus text format.
   std::string Format() const;
 
@@ -39,6 +42,7 @@
   mutable std::mutex mutex;
   Values counters;
   Values labelledGauges;
+  std::map<std::string, std::uint64_t> gauges;
 };
 
 } // namespace plantainslip::serving
