--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 #include "limit_refusals.hpp"
 #include "load_exchange.hpp"
 #include "request_path.hpp"
+#include "scaling_duty.hpp"
 #include "spawn.hpp"
 #include "store_wire.hpp"
 #include "target_wire.hpp"
@@ -264,6 +265,10 @@
     });
   if (this->settings.platformCalls.has_value()) {
     this->controller->EnableCalls(this->dutyWire, this->metrics);
+    if (this->settings.platformCalls->scalesServices) {
+      this->controller->AddDuty(std::make_unique<scaling::ScalingDuty>(
+        this->dutyWire, this->metrics, this->clock, this->ownOptions.scaling));
+    }
   }
 }
 
--- a/include/plantainslip/scaling/service_planner.hpp
+++ b/include/plantainslip/scaling/service_planner.hpp
@@ -41,6 +41,8 @@
   std::uint64_t ordered = 0;
   /// @brief Whether the platform has not lately refused or reclaimed targets of this kind here.
   bool available = true;
+  /// @brief When a lower number was last ordered.
+  std::optional<core::MonotonicTime> loweredAt;
 };
 
 /// @brief A service's targets in one zone.
@@ -134,18 +136,16 @@
                          core::MonotonicTime aNow);
   ZoneCounts PlanZoneWithoutDemand(const ScalingInput& aInput,
                                    const core::ZoneId& aZone,
-                                   bool aMayLower);
+                                   core::MonotonicTime aNow);
   ZoneCounts PlanZone(const ScalingInput& aInput,
                       const core::ZoneId& aZone,
-                      const ZoneCounts& aNow,
+                      const ZoneCounts& aPresent,
                       const ZoneCounts& aLately,
-                      bool aMayLower) const;
+                      const std::optional<core::MonotonicTime>& aLowerAt) const;
 
   ScalingOptions options;
   std::deque<std::pair<core::MonotonicTime, NeedByZone>> needs;
   std::optional<core::MonotonicTime> demandKnownSince;
-  std::map<core::ZoneId, core::MonotonicTime> loweredAt;
-
   /// @brief Targets of a zone that may all be needed, as the demand is not known: the most regular
   ///        ones seen, and the reclaimable ones seen at first.
   struct Unmeasured
--- a/src/scaling/scaling_duty.cpp
+++ b/src/scaling/scaling_duty.cpp
@@ -5,6 +5,8 @@
 
 #include <plantainslip/core/log.hpp>
 
+#include "../serving/cancellation.hpp"
+
 namespace plantainslip::scaling {
 
 using serving::CallOutcome;
@@ -19,6 +21,10 @@
 constexpr milliseconds kDirectoryLag{ 2'500 };
 /// Time for which a zone and kind that was refused or reclaimed is not ordered again.
 constexpr milliseconds kUnavailableTime{ 5'000 };
+/// Pause after an order that the call rate or an earlier call on its subject does not allow, and
+/// the attempts in one turn.
+constexpr milliseconds kRateDelay{ 200 };
+constexpr int kMaxAttempts = 3;
 /// Plans made at once one after another, each without what the platform has refused to the one
 /// before.
 constexpr std::size_t kMaxPasses = 4;
@@ -189,6 +195,7 @@
   state.serving = aRecord.serving;
   state.ordered = aRecord.serving;
   state.available = now >= aRecord.unavailableUntil;
+  state.loweredAt = aRecord.loweredAt;
   if (aRecord.order.has_value()) {
     const bool isInProgress =
       aRecord.order->unanswered ||
@@ -274,10 +281,15 @@
 {
   std::string duty = "scaling";
   std::string subject = "scaling " + aService.Text() + " " + aWanted.zone.Text();
-  serving::PlatformCall call =
+  const serving::PlatformCall call =
     this->codec.ScaleOrder(aService, aWanted.zone, aWanted.kind, aWanted.count);
-  const CallOutcome outcome =
-    co_await aCalls.Call(std::move(duty), std::move(subject), std::move(call));
+  CallOutcome outcome = CallOutcome::kNotSent;
+  for (int attempt = 0; attempt < kMaxAttempts && outcome == CallOutcome::kNotSent; ++attempt) {
+    if (attempt > 0) {
+      co_await serving::SleepFor(kRateDelay);
+    }
+    outcome = co_await aCalls.Call(duty, subject, call);
+  }
   this->metrics.Count("scaling_orders_total", OutcomeName(outcome));
   if (outcome == CallOutcome::kNotSent) {
     co_return outcome;
@@ -300,6 +312,9 @@
   switch (aOutcome) {
     case CallOutcome::kDone:
     case CallOutcome::kUnknown:
+      if (aWanted.count < aWanted.present) {
+        aRecord.loweredAt = now;
+      }
       aRecord.order = Order{ aWanted.count, now, aOutcome == CallOutcome::kUnknown };
       aRecord.mostServing = std::min(aRecord.serving, aWanted.count);
       break;
--- a/src/scaling/service_planner.cpp
+++ b/src/scaling/service_planner.cpp
@@ -16,7 +16,7 @@
 /// Share of the running targets by which their number must exceed the need before it is lowered:
 /// caches are lost with each target, and the need varies by some tenths with each wave.
 constexpr double kDeadband = 0.2;
-/// Time between two steps in a zone; the directory shows the effect of a step by then.
+/// Time between two steps of a kind in a zone; the directory shows the effect of a step by then.
 constexpr milliseconds kStepInterval{ 2'000 };
 /// Share of late requests from which no target is given up.
 constexpr double kHoldingLateShare = 0.1;
@@ -165,6 +165,12 @@
   return prefill || decode;
 }
 
+bool
+IsStepDue(const KindState& aKind, core::MonotonicTime aNow)
+{
+  return !aKind.loweredAt.has_value() || aNow - *aKind.loweredAt >= kStepInterval;
+}
+
 // Whether reclaimable targets are starting, which may take the place of those of another zone.
 bool
 IsAnyStarting(const ScalingInput& aInput)
@@ -244,7 +250,7 @@
 ZoneCounts
 ServicePlanner::PlanZoneWithoutDemand(const ScalingInput& aInput,
                                       const core::ZoneId& aZone,
-                                      bool aMayLower)
+                                      core::MonotonicTime aNow)
 {
   const ZoneState& state = aInput.zones.at(aZone);
   ZoneCounts desired{ state.regular.ordered, state.reclaimable.ordered };
@@ -264,7 +270,7 @@
     desired.reclaimable =
       std::max(desired.reclaimable, std::min(share(this->options.initialShare), room));
   }
-  if (aMayLower) {
+  if (IsStepDue(state.regular, aNow)) {
     const std::uint64_t replaced = std::min(desired.reclaimable, state.reclaimable.serving);
     const std::uint64_t all = known.regular + known.reclaimable;
     desired.regular = Lower(
@@ -276,30 +282,34 @@
   return desired;
 }
 
+// aLowerAt is the present time if targets may be given up.
 ZoneCounts
 ServicePlanner::PlanZone(const ScalingInput& aInput,
                          const core::ZoneId& aZone,
-                         const ZoneCounts& aNow,
+                         const ZoneCounts& aPresent,
                          const ZoneCounts& aLately,
-                         bool aMayLower) const
+                         const std::optional<core::MonotonicTime>& aLowerAt) const
 {
   const ZoneState& state = aInput.zones.at(aZone);
-  const ZoneCounts present{ state.regular.ordered, state.reclaimable.ordered };
-  ZoneCounts desired = present;
-  if (aNow.reclaimable > present.reclaimable) {
-    desired.reclaimable = aNow.reclaimable;
-  } else if (aMayLower && !IsAnyStarting(aInput)) {
-    desired.reclaimable = Lower(
-      present.reclaimable, std::max(aNow.reclaimable, aLately.reclaimable), this->options.maxStep);
+  const auto mayLower = [&](const KindState& aKind) {
+    return aLowerAt.has_value() && IsStepDue(aKind, *aLowerAt);
+  };
+  ZoneCounts desired{ state.regular.ordered, state.reclaimable.ordered };
+  if (aPresent.reclaimable > desired.reclaimable) {
+    desired.reclaimable = aPresent.reclaimable;
+  } else if (mayLower(state.reclaimable) && !IsAnyStarting(aInput)) {
+    desired.reclaimable = Lower(desired.reclaimable,
+                                std::max(aPresent.reclaimable, aLately.reclaimable),
+                                this->options.maxStep);
   }
   // Regular targets are replaced by reclaimable ones that serve, not by those that are starting.
   const std::uint64_t replaced = std::min(desired.reclaimable, state.reclaimable.serving);
   const std::uint64_t unreplaced = aLately.Total() - std::min(aLately.Total(), replaced);
-  if (aNow.regular > present.regular) {
-    desired.regular = aNow.regular;
-  } else if (aMayLower) {
-    desired.regular = Lower(present.regular,
-                            std::max({ aNow.regular, aLately.regular, unreplaced }),
+  if (aPresent.regular > desired.regular) {
+    desired.regular = aPresent.regular;
+  } else if (mayLower(state.regular)) {
+    desired.regular = Lower(desired.regular,
+                            std::max({ aPresent.regular, aLately.regular, unreplaced }),
                             this->options.maxStep);
   }
   const std::uint64_t maxPerZone = aInput.limits.maxPerZone;
@@ -335,21 +345,16 @@
     this->needs.clear();
     this->demandKnownSince.reset();
   }
+  const bool mayLower = aInput.isDirectoryComplete && !plan.isHeldByLateness;
+  const std::optional<core::MonotonicTime> lowerAt = mayLower ? std::optional(aNow) : std::nullopt;
   for (const auto& [zone, state] : aInput.zones) {
-    const ZoneCounts present{ state.regular.ordered, state.reclaimable.ordered };
     ZoneCounts& desired = plan.desired[zone];
-    desired = present;
     if (!state.visible) {
-      continue;
-    }
-    const auto lowered = this->loweredAt.find(zone);
-    const bool isStepDue =
-      lowered == this->loweredAt.end() || aNow - lowered->second >= kStepInterval;
-    const bool mayLower = aInput.isDirectoryComplete && !plan.isHeldByLateness && isStepDue;
-    desired = isDemandKnown ? this->PlanZone(aInput, zone, now.at(zone), lately.at(zone), mayLower)
-                            : this->PlanZoneWithoutDemand(aInput, zone, mayLower);
-    if (desired.regular < present.regular || desired.reclaimable < present.reclaimable) {
-      this->loweredAt[zone] = aNow;
+      desired = { state.regular.ordered, state.reclaimable.ordered };
+    } else if (isDemandKnown) {
+      desired = this->PlanZone(aInput, zone, now.at(zone), lately.at(zone), lowerAt);
+    } else {
+      desired = this->PlanZoneWithoutDemand(aInput, zone, aNow);
     }
   }
   return plan;
