--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include "control.hpp"
 #include "directory_wire.hpp"
+#include "duty_wire.hpp"
 #include "http_listener.hpp"
 #include "load_exchange.hpp"
 #include "request_path.hpp"
@@ -73,6 +74,7 @@
   void ApplyUpdate(serving::ControlUpdate aUpdate);
   void UpdateRetryBudget(std::size_t aPeers);
   void CountWorkspaces();
+  void AddUsageDuty();
   void CountUsage();
 
   static serving::PoolOptions TargetPoolOptions() { return {}; }
@@ -88,6 +90,7 @@
   serving::ConnectionPool controlPool{ this->control.get_executor(), {}, this->clock };
   wire::TargetWire targetWire;
   wire::DirectoryWire directoryWire;
+  wire::DutyWire dutyWire;
   wire::StoreWire store{ this->settings.store, this->controlPool };
   serving::PathMetrics metrics;
   serving::PathContext path;
@@ -98,6 +101,8 @@
   std::unique_ptr<serving::LoadExchange> exchange;
   /// @brief Absent if the deployment reports no usage.
   std::unique_ptr<serving::UsageLink> usageLink;
+  /// @brief Owned by the controller, and used on its thread.
+  serving::UsageDuty* usageDuty = nullptr;
   std::vector<std::unique_ptr<serving::LoadScope>> changingLoads;
   std::vector<core::TargetId> changingTargets;
   bool stopping = false;
@@ -150,6 +155,7 @@
     core::Log(core::LogLevel::kInfo, "ready", {});
   }
   this->exchange->SetPeers(aUpdate.peers);
+  this->exchange->SetHeldToken(aUpdate.heldToken);
   if (aUpdate.changing != this->changingTargets) {
     // An engine that was ordered to change its stage counts as full, here and, through the load
     // exchange, on all peers.
@@ -173,23 +179,52 @@
   this->metrics.Set("workspaces", keys == nullptr ? 0 : keys->Size());
 }
 
+void
+Gateway::AddUsageDuty()
+{
+  const wire::PlatformCalls& calls = *this->settings.platformCalls;
+  if (!calls.reportsUsage) {
+    return;
+  }
+  auto duty =
+    std::make_unique<serving::UsageDuty>(this->store,
+                                         this->dutyWire,
+                                         this->metrics,
+                                         this->clock,
+                                         usage::WindowRules{ calls.usageWindow, calls.usageDue },
+                                         [this](const usage::Progress& aProgress) {
+                                           asio::post(this->traffic, [this, progress = aProgress] {
+                                             this->usageLink->SetProgress(progress);
+                                           });
+                                         });
+  this->usageDuty = duty.get();
+  this->controller->AddDuty(std::move(duty));
+}
+
 // Counts requests by workspace and tells the collectors, if the deployment reports usage.
 void
 Gateway::CountUsage()
 {
-  const auto& calls = this->settings.platformCalls;
-  if (!calls.has_value() || !calls->reportsUsage) {
+  if (this->usageDuty == nullptr) {
     return;
   }
+  const wire::PlatformCalls& calls = *this->settings.platformCalls;
   this->usageLink = std::make_unique<serving::UsageLink>(
     this->traffic,
     this->clock,
-    usage::WindowRules{ calls->usageWindow, calls->usageDue },
+    usage::WindowRules{ calls.usageWindow, calls.usageDue },
     this->Self(),
     *this->exchange,
     this->metrics,
-    [] { return std::optional<core::InstanceId>(); },
-    [](const serving::UsageInput&) {});
+    [this] {
+      const auto holder = this->exchange->CurrentHolder();
+      return holder.has_value() ? std::optional(holder->id) : std::nullopt;
+    },
+    [this](serving::UsageInput aInput) {
+      asio::post(this->control, [this, input = std::move(aInput)]() mutable {
+        this->usageDuty->SetInput(std::move(input));
+      });
+    });
   this->path.countUsage = [this](const core::WorkspaceId& aWorkspace) {
     this->usageLink->Count(aWorkspace);
   };
@@ -214,6 +249,11 @@
   options.leaseDuration = this->settings.orderLeaseDuration;
   options.initialDecodeShare = this->ownOptions.initialDecodeShare;
   options.stageChangeCosts = this->ownOptions.stageChangeCosts;
+  if (this->settings.platformCalls.has_value()) {
+    options.platformCalls =
+      serving::PlatformCallOptions{ this->settings.platformCalls->address,
+                                    this->settings.platformCalls->callsPerSecond };
+  }
   this->controller = std::make_unique<serving::Control>(
     this->control,
     this->store,
@@ -227,6 +267,10 @@
         this->ApplyUpdate(std::move(update));
       });
     });
+  if (this->settings.platformCalls.has_value()) {
+    this->controller->EnableCalls(this->dutyWire, this->metrics);
+    this->AddUsageDuty();
+  }
 }
 
 absl::Status
@@ -300,6 +344,7 @@
   const core::MonotonicTime startedAt = this->clock.Now();
   this->stopping = true;
   this->callerListener->BeginDrain();
+  asio::post(this->control, [this] { this->controller->BeginStop(); });
   core::Log(core::LogLevel::kInfo,
             "stopping",
             { { "open_requests", std::to_string(this->callerListener->CountBusy()) } });
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -284,7 +284,7 @@
   this->reservations.push_back(std::move(ports));
   this->metrics = { "127.0.0.1", static_cast<std::uint16_t>(internalPort + 1) };
   const std::string name = "one-" + std::to_string(this->gateways.size());
-  const json settings = {
+  json settings = {
     { "node", name },
     { "zone", "a" },
     { "ip", "127.0.0.1" },
@@ -295,6 +295,13 @@
     { "bounds",
       { { "graceS", 8 }, { "leaseMs", 3'000 }, { "budgetRatio", 0.2 }, { "budgetSlack", 58 } } }
   };
+  if (!this->usagePlatform.empty()) {
+    settings["cloud"] = { { "address", this->usagePlatform },
+                          { "dutyPerS", 5 },
+                          { "duties", json::array({ "usage_report" }) } };
+    settings["bounds"]["windowS"] = 2;
+    settings["bounds"]["usageLateS"] = 10;
+  }
   const std::string file = "wire-fleet-" + std::to_string(::getpid()) + ".json";
   this->settingsPath = (std::filesystem::temp_directory_path() / file).string();
   std::ofstream(this->settingsPath) << settings.dump();
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -81,6 +81,10 @@
   /// @param aWorkspaces  list in the platform's format, or null for none
   void SetWorkspaces(const nlohmann::json& aWorkspaces);
 
+  /// @brief Lets instances that are started later report usage to an address, with windows of two
+  ///        seconds.
+  void ReportUsageTo(const net::Address& aPlatform) { this->usagePlatform = aPlatform.Text(); }
+
   /// @brief Starts an instance of the gateway.
   /// @param aAwaitReady  whether to wait until it is ready
   ChildProcess& StartGateway(bool aAwaitReady = true);
@@ -141,6 +145,7 @@
   std::string callerVersion = "1.1";
   /// @brief Added routes by name, as JSON.
   std::map<std::string, std::string> addedRoutes;
+  std::string usagePlatform;
   /// @brief Workspaces as JSON; empty for none.
   std::string workspaces;
   std::jthread thread;
