--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -83,6 +83,7 @@
   void ApplyUpdate(serving::ControlUpdate aUpdate);
   void UpdateRetryBudget(std::size_t aPeers);
   void CountWorkspaces();
+  void AddUsageDuty();
   void CountUsage();
 
   serving::PoolOptions PoolOptions(serving::MemoryBudget& aMemory,
@@ -127,6 +128,8 @@
   std::unique_ptr<serving::LoadExchange> exchange;
   /// @brief Absent if the deployment reports no usage.
   std::unique_ptr<serving::UsageLink> usageLink;
+  /// @brief Owned by the controller, and used on its thread.
+  serving::UsageDuty* usageDuty = nullptr;
   std::vector<std::unique_ptr<serving::LoadScope>> changingLoads;
   std::vector<core::TargetId> changingTargets;
   bool stopping = false;
@@ -203,23 +206,52 @@
   this->metrics.Set("workspaces", "", keys == nullptr ? 0 : keys->Size());
 }
 
+void
+Gateway::AddUsageDuty()
+{
+  const wire::PlatformCalls& calls = *this->settings.platformCalls;
+  if (!calls.reportsUsage) {
+    return;
+  }
+  auto duty =
+    std::make_unique<serving::UsageDuty>(this->store,
+                                         this->dutyWire,
+                                         this->metrics,
+                                         this->clock,
+                                         usage::WindowRules{ calls.usageWindow, calls.usageDue },
+                                         [this](const usage::Progress& aProgress) {
+                                           asio::post(this->traffic, [this, progress = aProgress] {
+                                             this->usageLink->SetProgress(progress);
+                                           });
+                                         });
+  this->usageDuty = duty.get();
+  this->controller->AddDuty(std::move(duty));
+}
+
 // Counts requests by workspace and tells the collectors, if the deployment reports usage.
 void
 Gateway::CountUsage()
 {
-  const auto& calls = this->settings.platformCalls;
-  if (!calls.has_value() || !calls->reportsUsage) {
+  if (this->usageDuty == nullptr) {
     return;
   }
+  const wire::PlatformCalls& calls = *this->settings.platformCalls;
   this->usageLink = std::make_unique<serving::UsageLink>(
     this->traffic,
     this->clock,
-    usage::WindowRules{ calls->usageWindow, calls->usageDue },
+    usage::WindowRules{ calls.usageWindow, calls.usageDue },
     this->Self(),
     *this->exchange,
     this->metrics,
-    [] { return std::optional<core::InstanceId>(); },
-    [](const serving::UsageInput&) {});
+    [this] {
+      const auto holder = this->exchange->CurrentHolder();
+      return holder.has_value() ? std::optional(holder->id) : std::nullopt;
+    },
+    [this](serving::UsageInput aInput) {
+      asio::post(this->control, [this, input = std::move(aInput)]() mutable {
+        this->usageDuty->SetInput(std::move(input));
+      });
+    });
   this->path.countUsage = [this](const core::WorkspaceId& aWorkspace) {
     this->usageLink->Count(aWorkspace);
   };
@@ -265,6 +297,7 @@
     });
   if (this->settings.platformCalls.has_value()) {
     this->controller->EnableCalls(this->dutyWire, this->metrics);
+    this->AddUsageDuty();
     if (this->settings.platformCalls->scalesServices) {
       this->controller->AddDuty(std::make_unique<scaling::ScalingDuty>(
         this->dutyWire, this->metrics, this->clock, this->ownOptions.scaling));
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -299,6 +299,13 @@
     settings["limits"] = { { "memoryMb", this->memoryMegabytes },
                            { "maxFds", this->maxDescriptors } };
   }
+  if (!this->usagePlatform.empty()) {
+    settings["cloud"] = { { "address", this->usagePlatform },
+                          { "dutyPerS", 5 },
+                          { "duties", json::array({ "usage_report" }) } };
+    settings["bounds"]["windowS"] = 2;
+    settings["bounds"]["usageLateS"] = 10;
+  }
   const std::string file = "wire-fleet-" + std::to_string(::getpid()) + ".json";
   this->settingsPath = (std::filesystem::temp_directory_path() / file).string();
   std::ofstream(this->settingsPath) << settings.dump();
