--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -63,7 +63,6 @@
     this->path.revocationBound = aSettings.revocationBound;
     this->path.quarantine = serving::RequestQuarantine(aOptions.quarantine);
     this->path.retryOptions.retriesPerRequest = aSettings.retriesPerRequest * kUsedBudgetFraction;
-    this->path.affinityKey = std::hash<std::string>()(aSettings.instance.Text());
     this->UpdateRetryBudget(0);
   }
 
@@ -181,6 +180,9 @@
   if (firstConfig) {
     core::Log(core::LogLevel::kInfo, "ready", {});
   }
+  // An instance without peers has nothing to divide the targets with.
+  this->path.affinityKey =
+    aUpdate.peers.empty() ? 0 : std::hash<std::string>()(this->settings.instance.Text());
   this->exchange->SetPeers(aUpdate.peers);
   this->exchange->SetHeldToken(aUpdate.heldToken);
   if (aUpdate.changing != this->changingTargets) {
