--- a/include/plantainslip/serving/placement.hpp
+++ b/include/plantainslip/serving/placement.hpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include <plantainslip/serving/connection_view.hpp>
-#include <plantainslip/serving/first_event_delay.hpp>
 #include <plantainslip/serving/load_tracker.hpp>
 #include <plantainslip/serving/prefill_model.hpp>
 #include <plantainslip/serving/target_health.hpp>
@@ -13,6 +12,9 @@
 
 namespace plantainslip::serving {
 
+/// @brief Time from the end of the prefill to the first event at the caller.
+inline constexpr milliseconds kFirstEventDelay{ 95 };
+
 /// @brief Inputs of placement other than the request.
 struct PlacementView
 {
@@ -20,7 +22,6 @@
   const LoadTracker& loads;
   const TargetHealth& health;
   const PrefillModel& prefill;
-  const FirstEventDelay& firstEvents;
   const TargetNotices& notices;
   const TargetLimits& limits;
   core::ZoneId ownZone;
@@ -51,8 +52,6 @@
   double tokens = 0.0;
   /// @brief Priority to send the prompt with.
   std::size_t priority = 0;
-  /// @brief Expected time from the end of the prefill to the first event at the caller.
-  milliseconds firstEventDelay{ 0 };
 };
 
 /// @brief Chooses the engine that prefills a prompt.
--- a/include/plantainslip/serving/prefill_model.hpp
+++ b/include/plantainslip/serving/prefill_model.hpp
@@ -13,8 +13,7 @@
 class PrefillModel
 {
 public:
-  /// @brief Rate assumed until the first call to any engine has ended, in tokens per millisecond;
-  ///        later, an engine without calls is assumed to have the mean rate of the others.
+  /// @brief Rate assumed until the first call has ended, in tokens per millisecond.
   static constexpr double kInitialRate = 70.0;
   /// @brief Time of a call other than the prefill: connection, batch step and answer.
   static constexpr milliseconds kCallOverhead{ 70 };
@@ -48,16 +47,9 @@
   {
     double tokens = 0.0;
     double milliseconds = 0.0;
-    /// @brief Weight that the assumed rate still has; 1 before the first call.
-    double prior = 1.0;
-
-    void Add(double aWeight, double aTokens, double aMilliseconds);
-    double Rate(double aAssumedRate) const;
   };
 
   std::map<core::TargetId, Means> means;
-  /// @brief Means of the calls to all engines.
-  Means allEngines;
 };
 
 /// @brief Returns the priority of a prompt, by the time that it can wait and still be on time.
--- a/src/serving/completion_path.cpp
+++ b/src/serving/completion_path.cpp
@@ -173,15 +173,10 @@
                        ExcludedTargets(this->request));
 }
 
-// Learns from a first event, and counts a late one for the stage that it had to wait for.
+// Counts a first event that is late for the stage that it had to wait for.
 void
 Completion::CountLateness()
 {
-  const milliseconds firstEventDelay = this->context.firstEvents.Delay(this->request.service.name);
-  if (this->prefillEnded.count() > 0) {
-    this->context.firstEvents.Record(this->request.service.name,
-                                     this->request.timeToFirstChunk - this->prefillEnded);
-  }
   if (this->request.timeToFirstChunk <= this->request.route.objective) {
     return;
   }
@@ -190,7 +185,7 @@
   };
   const double prefill = excess(this->prefillEnded, this->request.expectedPrefillDuration);
   const double decode =
-    excess(this->request.timeToFirstChunk - this->prefillEnded, firstEventDelay);
+    excess(this->request.timeToFirstChunk - this->prefillEnded, kFirstEventDelay);
   const double share = prefill + decode > 0.0 ? prefill / (prefill + decode) : 1.0;
   this->context.demand.AddLate(this->request.service.name, share, 1.0 - share);
 }
@@ -203,7 +198,7 @@
     this->context.demand.AddPrompt(this->request.service.name,
                                    aPlace.tokens / this->context.prefill.Rate(aPlace.target.id),
                                    this->request.route.objective - aPlace.prefillTime -
-                                     aPlace.firstEventDelay);
+                                     kFirstEventDelay);
   }
 }
 
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -76,7 +76,6 @@
   TargetNotices notices = {};
   TargetLimits limits = {};
   PrefillModel prefill = {};
-  FirstEventDelay firstEvents = {};
   DemandMeter demand = {};
   RequestQuarantine quarantine = RequestQuarantine();
   IdleReuse idleReuse = {};
@@ -134,9 +133,8 @@
   /// @brief Returns the current input for placement decisions.
   PlacementView View() const
   {
-    PlacementView view{ *this->fleet,  this->loads,       this->health,
-                        this->prefill, this->firstEvents, this->notices,
-                        this->limits,  this->ownZone,     this->clock.Now() };
+    PlacementView view{ *this->fleet,  this->loads,  this->health,  this->prefill,
+                        this->notices, this->limits, this->ownZone, this->clock.Now() };
     view.connections = &this->pool;
     view.affinityKey = this->affinityKey;
     return view;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -217,9 +217,8 @@
   });
   const Homes homes = FindHomes(candidates, SharedKey(aPrompt));
   const auto tokens = static_cast<double>(UnsharedTokens(aPrompt));
-  const milliseconds firstEventDelay = aView.firstEvents.Delay(aService);
   const auto priorityAt = [&](const core::TargetId& aTarget) {
-    return PromptPriority(aSlack - firstEventDelay - aView.prefill.Duration(aTarget, tokens));
+    return PromptPriority(aSlack - kFirstEventDelay - aView.prefill.Duration(aTarget, tokens));
   };
   const auto waitAt = [&](const Candidate& aCandidate, std::size_t aPriority) {
     return aView.prefill.Duration(aCandidate.target->id, aCandidate.load.TokensBefore(aPriority));
@@ -235,7 +234,7 @@
       aCandidate.load.cacheTransfers * kTransferMs;
     const double failurePenalty = aCandidate.failureRate * kFailureRequests * kFailureMs;
     return static_cast<double>(work.count()) + failurePenalty + contention +
-           HomeCost(homes, target) + (work + firstEventDelay > aSlack ? kLateMs : 0.0);
+           HomeCost(homes, target) + (work + kFirstEventDelay > aSlack ? kLateMs : 0.0);
   };
   AddDistances(candidates, aView.ownZone, kCrossZoneMs);
   const Candidate* const cheapest =
@@ -255,13 +254,12 @@
   place.priority = priorityAt(best->id);
   place.queueingTime = waitAt(*cheapest, place.priority);
   place.prefillTime = aView.prefill.Duration(best->id, tokens);
-  if (place.queueingTime + place.prefillTime + firstEventDelay > aSlack) {
+  if (place.queueingTime + place.prefillTime + kFirstEventDelay > aSlack) {
     // Late in any case: it must not delay prompts that can still be on time.
     place.priority = kPriorityLevels - 1;
     place.queueingTime = waitAt(*cheapest, place.priority);
   }
   place.tokens = tokens;
-  place.firstEventDelay = firstEventDelay;
   return place;
 }
 
--- a/src/serving/prefill_model.cpp
+++ b/src/serving/prefill_model.cpp
@@ -12,29 +12,13 @@
 
 } // namespace
 
-void
-PrefillModel::Means::Add(double aWeight, double aTokens, double aMilliseconds)
-{
-  this->tokens += aWeight * (aTokens - this->tokens);
-  this->milliseconds += aWeight * (aMilliseconds - this->milliseconds);
-  this->prior *= 1.0 - aWeight;
-}
-
-double
-PrefillModel::Means::Rate(double aAssumedRate) const
-{
-  constexpr double kAssumedTokens = 10'000.0;
-  return (this->tokens + this->prior * kAssumedTokens) /
-         (this->milliseconds + this->prior * kAssumedTokens / aAssumedRate);
-}
-
 double
 PrefillModel::Rate(const core::TargetId& aTarget) const
 {
-  const double assumed = this->allEngines.Rate(kInitialRate);
   const auto found = this->means.find(aTarget);
-  return std::clamp(
-    found == this->means.end() ? assumed : found->second.Rate(assumed), kMinRate, kMaxRate);
+  return found == this->means.end()
+           ? kInitialRate
+           : std::clamp(found->second.tokens / found->second.milliseconds, kMinRate, kMaxRate);
 }
 
 milliseconds
@@ -49,13 +33,17 @@
                          double aTokens,
                          milliseconds aTook)
 {
+  constexpr double kInitialTokens = 10'000.0;
+  const auto entry =
+    this->means.try_emplace(aTarget, Means{ kInitialTokens, kInitialTokens / kInitialRate }).first;
+  Means& mean = entry->second;
   const double prefillMs = std::max(1.0, static_cast<double>((aTook - kCallOverhead).count()));
   // The prompt's own part of the call; its weight falls with the queue, whose length is uncertain.
   const double allTokens = aQueuedTokens + aTokens;
   const double ownShare = allTokens > 0.0 ? aTokens / allTokens : 1.0;
   const double weight = kSmoothingFactor * ownShare * ownShare;
-  this->means[aTarget].Add(weight, aTokens, prefillMs * ownShare);
-  this->allEngines.Add(weight, aTokens, prefillMs * ownShare);
+  mean.tokens += weight * (aTokens - mean.tokens);
+  mean.milliseconds += weight * (prefillMs * ownShare - mean.milliseconds);
 }
 
 std::size_t
--- a/tests/src/unit-placement-load.cpp
+++ b/tests/src/unit-placement-load.cpp
@@ -102,7 +102,6 @@
     }
     const TargetHealth health;
     const PrefillModel prefill;
-    const FirstEventDelay firstEvents;
     const TargetNotices notices;
     const TargetLimits limits;
     std::mt19937_64 random(7);
@@ -132,7 +131,7 @@
       }
       const std::size_t index = random() % kInstances;
       Instance& instance = instances[index];
-      PlacementView view{ fleet,   instance.loads, health,        prefill, firstEvents,
+      PlacementView view{ fleet,   instance.loads, health,        prefill,
                           notices, limits,         ZoneOf(index), now };
       view.maxIdle = aMaxIdle;
       if (aUsesConnections) {
@@ -239,9 +238,8 @@
     prompt.promptTokens = static_cast<std::uint64_t>(kShared + own);
     prompt.parts = { { 1 + this->random() % 20, static_cast<std::uint64_t>(kShared) },
                      { 0, static_cast<std::uint64_t>(own) } };
-    const PlacementView view{ this->fleet,   this->loads,       this->health,
-                              this->prefill, this->firstEvents, this->notices,
-                              this->limits,  ZoneOf(0),         this->now };
+    const PlacementView view{ this->fleet,   this->loads,  this->health, this->prefill,
+                              this->notices, this->limits, ZoneOf(0),    this->now };
     const auto place = ChoosePrefill(view, kService, prompt, 500ms, {});
     Queued queued;
     queued.tokens = own;
@@ -293,7 +291,7 @@
     if (aCounts) {
       Score& score = aQueued.tokens > kLongTokens ? this->longPrompts : this->shortPrompts;
       score.all += 1.0;
-      const auto delay = static_cast<double>(FirstEventDelay::kInitial.count());
+      const auto delay = static_cast<double>(kFirstEventDelay.count());
       score.inTime += tookMs + delay <= kObjectiveMs ? 1.0 : 0.0;
     }
   }
@@ -305,7 +303,6 @@
   FleetSnapshot fleet;
   LoadTracker loads;
   TargetHealth health;
-  FirstEventDelay firstEvents;
   TargetNotices notices;
   TargetLimits limits;
   core::MonotonicTime now{};
--- a/tests/src/unit-serving-decisions.cpp
+++ b/tests/src/unit-serving-decisions.cpp
@@ -51,7 +51,6 @@
   LoadTracker loads;
   TargetHealth health;
   PrefillModel prefill;
-  FirstEventDelay firstEvents;
   TargetNotices notices;
   TargetLimits limits;
   core::MonotonicTime now{};
@@ -60,7 +59,7 @@
 
   PlacementView View() const
   {
-    return { this->fleet,   this->loads,  this->health,      this->prefill, this->firstEvents,
+    return { this->fleet,   this->loads,  this->health,      this->prefill,
              this->notices, this->limits, core::ZoneId("a"), this->now };
   }
 };
@@ -433,12 +432,6 @@
   }
   CHECK(model.Duration(slow, 4'000.0).count() == doctest::Approx(100).epsilon(0.05));
   CHECK(model.Duration(fast, 4'000.0).count() == doctest::Approx(40).epsilon(0.05));
-  SUBCASE("an engine without calls is assumed to be as fast as the others are on average")
-  {
-    const auto duration =
-      static_cast<double>(model.Duration(core::TargetId("new"), 4'000.0).count());
-    CHECK(duration == doctest::Approx(70).epsilon(0.1));
-  }
   SUBCASE("calls that mostly waited in a queue hardly change the estimate")
   {
     for (int call = 0; call < 20; ++call) {
@@ -453,23 +446,6 @@
   }
 }
 
-// Guards against an estimate that a few slow decode engines raise for all prompts.
-TEST_CASE("the delay of the first event is learnt per service and follows the median")
-{
-  FirstEventDelay delays;
-  CHECK(delays.Delay(kEngineService) == FirstEventDelay::kInitial);
-  for (int event = 0; event < 400; ++event) {
-    constexpr int kSlowOneOf = 5;
-    delays.Record(kEngineService, event % kSlowOneOf == 0 ? 2'000ms : 60ms);
-  }
-  CHECK(delays.Delay(kEngineService).count() == doctest::Approx(60).epsilon(0.05));
-  CHECK(delays.Delay(kPlainService) == FirstEventDelay::kInitial);
-  for (int event = 0; event < 400; ++event) {
-    delays.Record(kEngineService, 5s);
-  }
-  CHECK(delays.Delay(kEngineService) == FirstEventDelay::kMax);
-}
-
 TEST_CASE("stages are planned for the whole service, with both stages in each zone")
 {
   FleetSnapshot fleet;
