--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -18,9 +18,6 @@
 /// part and its price.
 constexpr double kSecondHomeMs = 60.0;
 constexpr double kNoHomeMs = 160.0;
-/// Cost of an engine at which the first event is expected to be late, as a delay: above that of an
-/// engine that is no home, so that a long prompt goes to one that is fast and free.
-constexpr double kLateMs = 200.0;
 /// Share of the less urgent tokens at an engine that delays a prompt: about 2 ms per 1,000 tokens,
 /// whose prefill takes about 9 ms.
 constexpr double kLowerPriorityShare = 0.2;
@@ -234,7 +231,7 @@
       aCandidate.load.cacheTransfers * kTransferMs;
     const double failurePenalty = aCandidate.failureRate * kFailureRequests * kFailureMs;
     return static_cast<double>(work.count()) + failurePenalty + contention +
-           HomeCost(homes, target) + (work + kFirstEventDelay > aSlack ? kLateMs : 0.0);
+           HomeCost(homes, target);
   };
   AddDistances(candidates, aView.ownZone, kCrossZoneMs);
   const Candidate* const cheapest =
