--- a/tests/src/unit-engine-memory.cpp
+++ b/tests/src/unit-engine-memory.cpp
@@ -57,7 +57,6 @@
   LoadTracker loads;
   TargetHealth health;
   PrefillModel prefill;
-  FirstEventDelay firstEvents;
   TargetNotices notices;
   TargetLimits limits;
 };
--- a/tests/src/unit-usage.cpp
+++ b/tests/src/unit-usage.cpp
@@ -233,8 +233,8 @@
   network.Settle();
   const auto now =
     std::chrono::duration_cast<milliseconds>(network.clock.WallNow().time_since_epoch());
-  for (const auto& [id, agent] : network.agents) {
-    CHECK_MESSAGE(agent->Now() == now, id.Text());
+  for (const auto& entry : network.agents) {
+    CHECK_MESSAGE(entry.second->Now() == now, entry.first.Text());
   }
   network.clocks.at(core::InstanceId("b"))->skew = 9s;
   CHECK(network.At("b").Now() == now);
@@ -329,7 +329,7 @@
                                         { core::InstanceId("b"), core::ZoneId("1") },
                                         { core::InstanceId("c"), core::ZoneId("2") },
                                         { core::InstanceId("d"), core::ZoneId("3") } };
-  const auto ids = [](std::vector<std::string> aTexts) {
+  const auto ids = [](const std::vector<std::string>& aTexts) {
     std::vector<core::InstanceId> read;
     for (const std::string& text : aTexts) {
       read.emplace_back(text);
