Prefer targets with a reusable connection only where an instance has peers

A single gateway stayed with the target that it was connected to, so the other one of two equal targets got no request; process-faulty-targets waits for one. The aim, fewer new connections, concerns instances that share many targets.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -180,7 +180,7 @@
   if (firstConfig) {
     core::Log(core::LogLevel::kInfo, "ready", {});
   }
-  // An instance without peers has nothing to divide the targets with.
+  // Only instances with peers divide the targets among them.
   this->path.affinityKey =
     aUpdate.peers.empty() ? 0 : std::hash<std::string>()(this->settings.instance.Text());
   this->exchange->SetPeers(aUpdate.peers);
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -79,7 +79,7 @@
   DemandMeter demand = {};
   RequestQuarantine quarantine = RequestQuarantine();
   IdleReuse idleReuse = {};
-  /// @brief Identifies this instance in the choice among equal targets.
+  /// @brief Identifies this instance in the choice among equal targets; zero without peers.
   std::uint64_t affinityKey = 0;
   std::map<core::ServiceName, std::unique_ptr<retries::RetryBudget>> budgets = {};
   /// @brief Latest snapshot published by the control thread; never null.
@@ -135,7 +135,8 @@
   {
     PlacementView view{ *this->fleet,  this->loads,  this->health,  this->prefill,
                         this->notices, this->limits, this->ownZone, this->clock.Now() };
-    view.connections = &this->pool;
+    // An instance without peers spreads its requests by load alone.
+    view.connections = this->affinityKey == 0 ? nullptr : &this->pool;
     view.affinityKey = this->affinityKey;
     return view;
   }
