--- a/src/scaling/scaling_duty.cpp
+++ b/src/scaling/scaling_duty.cpp
@@ -37,26 +37,6 @@
   return aKind == TargetKind::kRegular ? "regular" : "reclaimable";
 }
 
-std::string
-OutcomeName(CallOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case CallOutcome::kDone:
-      return "done";
-    case CallOutcome::kRefused:
-      return "refused";
-    case CallOutcome::kThrottled:
-      return "throttled";
-    case CallOutcome::kNotSent:
-      return "not_sent";
-    case CallOutcome::kFailed:
-      return "failed";
-    case CallOutcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 void
 LogPlan(const core::ServiceName& aService, const ScalingInput& aInput, const ScalingPlan& aPlan)
 {
@@ -290,7 +270,7 @@
     }
     outcome = co_await aCalls.Call(duty, subject, call);
   }
-  this->metrics.Count("scaling_orders_total", OutcomeName(outcome));
+  this->metrics.Count("scaling_orders_total", serving::OutcomeName(outcome));
   if (outcome == CallOutcome::kNotSent) {
     co_return outcome;
   }
@@ -301,7 +281,7 @@
               { "targets", KindName(aWanted.kind) },
               { "count", std::to_string(aWanted.count) },
               { "before", std::to_string(aWanted.present) },
-              { "outcome", OutcomeName(outcome) } });
+              { "outcome", serving::OutcomeName(outcome) } });
   co_return outcome;
 }
 
--- a/src/serving/duty.hpp
+++ b/src/serving/duty.hpp
@@ -35,6 +35,10 @@
   kUnknown,
 };
 
+/// @brief Returns an outcome's name in logs and counters.
+std::string
+OutcomeName(CallOutcome aOutcome);
+
 /// @brief Kind of targets that an order to scale is about.
 enum class TargetKind
 {
--- a/src/serving/duty_caller.cpp
+++ b/src/serving/duty_caller.cpp
@@ -10,26 +10,6 @@
 /// Less than the margin of the lease, so that a call ends before the lease does.
 constexpr std::chrono::milliseconds kCallTimeout{ 600 };
 
-std::string
-NameOf(CallOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case CallOutcome::kDone:
-      return "done";
-    case CallOutcome::kRefused:
-      return "refused";
-    case CallOutcome::kThrottled:
-      return "throttled";
-    case CallOutcome::kNotSent:
-      return "not_sent";
-    case CallOutcome::kFailed:
-      return "failed";
-    case CallOutcome::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 } // namespace
 
 DutyCaller::DutyCaller(LeaseKeeper& aLease,
@@ -99,14 +79,14 @@
   const std::string subject = aDuty + " " + aSubject;
   const std::string text = aCall.path + "\n" + aCall.body;
   if (!this->MayCall() || !this->rules.TryBegin(subject, text, ReadBootTime())) {
-    this->metrics.Count("duty_calls_total", aDuty + "_" + NameOf(CallOutcome::kNotSent));
+    this->metrics.Count("duty_calls_total", aDuty + "_" + OutcomeName(CallOutcome::kNotSent));
     co_return CallOutcome::kNotSent;
   }
   const core::FencingToken token = this->lease.Token();
   const std::string body = aCall.body;
   const auto answer = co_await this->Send(std::move(aCall), token);
   const CallOutcome outcome = this->Settle(subject, answer);
-  this->metrics.Count("duty_calls_total", aDuty + "_" + NameOf(outcome));
+  this->metrics.Count("duty_calls_total", aDuty + "_" + OutcomeName(outcome));
   constexpr std::size_t kLoggedBytes = 200;
   core::Log(
     core::LogLevel::kInfo,
@@ -115,7 +95,7 @@
       { "subject", aSubject },
       { "body", body.substr(0, kLoggedBytes) },
       { "token", std::to_string(token.Number()) },
-      { "outcome", NameOf(outcome) },
+      { "outcome", OutcomeName(outcome) },
       { "answer",
         answer.ok() ? std::to_string(answer->status) : std::string(answer.status().message()) } });
   co_return outcome;
