--- a/include/plantainslip/scaling/service_planner.hpp
+++ b/include/plantainslip/scaling/service_planner.hpp
@@ -17,8 +17,7 @@
   ///        which new targets start.
   serving::StageHeadroom headroom = {};
   /// @brief Share of a zone's needed targets that are regular ones, so that the zone is served
-  /// while
-  ///        its reclaimable ones are reclaimed; 0 to 1.
+  ///        while its reclaimable ones are reclaimed; 0 to 1.
   double regularShare = 0.25;
   /// @brief Share of the regular targets that reclaimable ones replace before the demand is known;
   ///        0 to 1, none at 0.
@@ -53,8 +52,7 @@
   /// @brief Whether an instance of the zone is alive; a zone that is not visible keeps its targets.
   bool visible = false;
   /// @brief Share of the service's demand that arrives in this zone. The shares of the visible
-  /// zones
-  ///        add up to 1.
+  ///        zones add up to 1.
   double demandShare = 0.0;
 };
 
@@ -104,8 +102,7 @@
   /// @brief All zones of the input; a number equal to the ordered one needs no order.
   CountsByZone desired;
   /// @brief Targets that the present demand needs, and those that the largest demand of each zone
-  /// in
-  ///        the last seconds needs; zero if the demand is unknown.
+  ///        in the last seconds needs; zero if the demand is unknown.
   double needed = 0.0;
   double neededLately = 0.0;
   /// @brief Whether late requests keep targets from being given up.
--- a/include/plantainslip/workspaces/fair_share.hpp
+++ b/include/plantainslip/workspaces/fair_share.hpp
@@ -20,15 +20,13 @@
 };
 
 /// @brief Ranks workspaces by what they used in the last seconds, for times at which requests wait
-/// or
-///        are refused for lack of capacity.
+///        or are refused for lack of capacity.
 ///
 /// Load: demand above the fleet's capacity, most of it from few large workspaces. A workspace's
 /// share is the use of all divided by the number of workspaces that use anything. Uses and counts
 /// decay exponentially, so no state is reset at the end of a period.
 /// @note Each function is logarithmic in the number of workspaces; a few idle entries are removed
-/// with
-///       each one that is added. Not thread-safe.
+///       with each one that is added. Not thread-safe.
 class FairShare
 {
 public:
@@ -38,8 +36,7 @@
   /// @brief Uses of this share and less are far below the workspace's share.
   static constexpr double kLowUse = 0.5;
   /// @brief A workspace that is served less often than this fraction of all is not refused; the
-  /// bound
-  ///        that it must not fall below is a quarter.
+  ///        bound that it must not fall below is a quarter.
   static constexpr double kMinServedFraction = 0.5;
   /// @brief Workspaces that are remembered; further ones count as within their share.
   static constexpr std::size_t kMaxWorkspaces = 16'384;
--- a/src/serving/path_types.hpp
+++ b/src/serving/path_types.hpp
@@ -87,8 +87,7 @@
   /// @brief When the store last confirmed that the snapshot is the newest.
   core::MonotonicTime confirmedAt = {};
   /// @brief Age of that confirmation from which requests that need a key are refused, as the key
-  /// may
-  ///        have been revoked; absent if the last known keys go on being accepted.
+  ///        may have been revoked; absent if the last known keys go on being accepted.
   std::optional<milliseconds> revocationBound = {};
   /// @brief Called once for each request of a workspace that begins to run; empty if usage is not
   ///        counted.
