--- a/tests/src/unit-usage.cpp
+++ b/tests/src/unit-usage.cpp
@@ -331,6 +331,7 @@
                                         { core::InstanceId("d"), core::ZoneId("3") } };
   const auto ids = [](const std::vector<std::string>& aTexts) {
     std::vector<core::InstanceId> read;
+    read.reserve(aTexts.size());
     for (const std::string& text : aTexts) {
       read.emplace_back(text);
     }
