--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -37,8 +37,6 @@
 
 using Accepts = std::function<bool(const Target&)>;
 
-// Returns the targets that are accepted, take requests and were not tried; avoided ones only if no
-// others are left.
 /// @brief A target that may be chosen, with its load, which is looked up once.
 struct Candidate
 {
@@ -51,6 +49,8 @@
 };
 using Candidates = std::vector<Candidate>;
 
+// Returns the targets that are accepted, take requests and were not tried; avoided ones only if no
+// others are left.
 Candidates
 FindCandidates(const PlacementView& aView, const TriedTargets& aTried, const Accepts& aAccepts)
 {
