--- a/review/tools-2/standins.cpp
+++ b/review/tools-2/standins.cpp
@@ -210,6 +210,12 @@
 
 } // namespace
 
+int
+FreePort()
+{
+  return TakePorts(1);
+}
+
 std::int64_t
 NowMs()
 {
--- a/review/tools-2/standins.hpp
+++ b/review/tools-2/standins.hpp
@@ -55,6 +55,10 @@
   std::FILE* file;
 };
 
+/// Returns a port of 127.0.0.1 that is free.
+int
+FreePort();
+
 /// A TCP connection with buffered reads. Blocking; closed by its destructor.
 class Socket
 {
