review: report; case 7 keeps the shares of the site

Case 7 used one worker and one machine, so its cut and its freeze were of all of them. It has three workers and nine machines now, as the site's shares ask, and unsafe requests only.

--- a/review/tools-2/same_id.cpp
+++ b/review/tools-2/same_id.cpp
@@ -3,9 +3,11 @@
 // is no cut, but the machine that waits for the answer freezes meanwhile.
 #include "standins.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -119,20 +121,30 @@
       _exit(127);
     }
     close(ends[1]);
-    this->lines = fdopen(ends[0], "r");
+    this->output = ends[0];
+    this->text.clear();
     this->born = UnixMs();
     return this->NextLine() == "listens";
   }
 
-  /// Returns the next line that the process prints; empty at its end.
+  /// Returns the next line that the process prints; empty at its end, or if none comes in time.
   std::string NextLine()
   {
-    char text[256];
-    if (this->lines == nullptr || std::fgets(text, sizeof(text), this->lines) == nullptr) {
-      return "";
+    constexpr int kWaitMs = 3'000;
+    std::size_t end = this->text.find('\n');
+    while (end == std::string::npos) {
+      pollfd waiting{ this->output, POLLIN, 0 };
+      char bytes[256];
+      const bool isReadable = this->output >= 0 && poll(&waiting, 1, kWaitMs) > 0;
+      const ssize_t count = isReadable ? read(this->output, bytes, sizeof(bytes)) : 0;
+      if (count <= 0) {
+        return "";
+      }
+      this->text.append(bytes, static_cast<std::size_t>(count));
+      end = this->text.find('\n');
     }
-    std::string line(text);
-    line.pop_back();
+    const std::string line = this->text.substr(0, end);
+    this->text.erase(0, end + 1);
     this->recorder.Line(this->id + ": " + line);
     return line;
   }
@@ -146,8 +158,8 @@
       // What it printed before its end.
       while (!this->NextLine().empty()) {
       }
-      std::fclose(this->lines);
-      this->lines = nullptr;
+      close(this->output);
+      this->output = -1;
     }
   }
 
@@ -172,7 +184,8 @@
   std::string id;
   int port;
   pid_t process = 0;
-  std::FILE* lines = nullptr;
+  int output = -1;
+  std::string text;
   std::int64_t born = 0;
 };
 
@@ -199,30 +212,45 @@
     return 2;
   }
   store.Put("servers/" + id, worker.Entry(link.Port()));
+  // One worker of three is cut off, and one machine of nine freezes.
+  const std::vector<std::string> zones = { "sokcho", "gangneung", "samcheok" };
+  Worker second(recorder, "i-91bd3f06", "entry-desk", zones[1], 15);
+  Worker third(recorder, "i-e4402b7d", "entry-desk", zones[2], 15);
+  store.Put("servers/" + second.Id(), second.Entry());
+  store.Put("servers/" + third.Id(), third.Entry());
   store.Put("op/config", DeskConfig(7));
-  Machine machine(
-    recorder, aArguments[2], "front-sokcho-1", "sokcho", { "sokcho" }, store.Address());
-  machine.Start();
-  if (!Await(15'000, [&] { return machine.Readiness() == 200; })) {
-    recorder.Line("could not run: the machine is not ready");
+  std::vector<std::unique_ptr<Machine>> machines;
+  for (const std::string& zone : zones) {
+    for (int number = 1; number <= 3; ++number) {
+      machines.push_back(std::make_unique<Machine>(recorder,
+                                                   aArguments[2],
+                                                   "front-" + zone + "-" + std::to_string(number),
+                                                   zone,
+                                                   zones,
+                                                   store.Address()));
+      machines.back()->Start();
+    }
+  }
+  Machine& machine = *machines.front();
+  if (!Await(15'000, [&] {
+        return std::all_of(machines.begin(), machines.end(), [](const auto& aMachine) {
+          return aMachine->Readiness() == 200;
+        });
+      })) {
+    recorder.Line("could not run: not all machines are ready");
     return 2;
   }
+  SleepMs(2'000);
 
   int wrong = 0;
   int whole = 0;
   for (int round = 0; round < kCutRounds + kFreezeRounds; ++round) {
-    const bool isCommit = round % 2 == 0;
     const bool cuts = round < kCutRounds;
     const std::string requestId = "r" + std::to_string(round);
     CallResult result;
     std::thread client([&] {
-      result = Call(machine.FrontPort(),
-                    isCommit ? "POST" : "GET",
-                    "desk.example",
-                    isCommit ? "/commit/a" : "/status/a",
-                    requestId,
-                    isCommit ? "entry" : "",
-                    1'500);
+      result =
+        Call(machine.FrontPort(), "POST", "desk.example", "/commit/a", requestId, "entry", 1'500);
     });
     const bool runs = worker.NextLine() == "run " + requestId;
     if (runs && trouble) {
@@ -266,11 +294,12 @@
       return 2;
     }
     const bool isSuccess = result.status >= 200 && result.status < 300;
-    const bool isWrong = isSuccess && result.body != kWholeBody;
+    const bool isOthers =
+      result.body == "answer of " + second.Id() || result.body == "answer of " + third.Id();
+    const bool isWrong = isSuccess && result.body != kWholeBody && !isOthers;
     wrong += isWrong ? 1 : 0;
     whole += isSuccess && !isWrong ? 1 : 0;
-    recorder.Line(std::string(isCommit ? "POST /commit/a " : "GET /status/a ") + requestId +
-                  ": client got " + std::to_string(result.status) +
+    recorder.Line("POST /commit/a " + requestId + ": client got " + std::to_string(result.status) +
                   (result.sealed ? " with" : " without") + " a seal, complete body of " +
                   std::to_string(result.body.size()) + " bytes of " +
                   std::to_string(kWholeBody.size()) + (isWrong ? ": NOT THE WHOLE BODY" : ""));
