Take a time without contact for an outage only if the store was asked in vain

Cause: an instance that follows the store through its peers took their silence for an outage of the store, and a removal for a lease that had expired in it.

Fix: ObservedStore tells the directory of every answered and every unanswered call. Without an unanswered one a time without contact is no outage, whatever has become of the peers; with one, entries are kept as before.

--- a/include/plantainslip/serving/directory.hpp
+++ b/include/plantainslip/serving/directory.hpp
@@ -25,10 +25,11 @@
 ///
 /// In a store outage the leases of entries expire although their targets are alive, so an entry
 /// that was removed in an outage is kept for a grace period after the store's return. The store was
-/// away only if it answered no instance of the fleet; a removal that it made before or after, or
-/// that reaches this instance late, is in force at once. A change with an older
-/// position never replaces a newer one. A target is dropped as soon as a process that started later
-/// uses its address, even if its entry has not expired yet.
+/// away only if it answered no instance of the fleet, and this instance asked it in vain: peers
+/// that have ended say nothing of the store. A removal that it made before or after, or that
+/// reaches this instance late, is in force at once. A change with an older position never replaces
+/// a newer one. A target is dropped as soon as a process that started later uses its address, even
+/// if its entry has not expired yet.
 ///
 /// After the store came back from a copy, the entries in it may be older than those known. A
 /// process that was leaving stays so, and one whose entry was removed is used again only once its
@@ -62,6 +63,13 @@
   /// late: one within an assumed outage can show that there was none.
   void RecordContact(core::MonotonicTime aAt);
 
+  /// @brief Records that the store did not answer a call of this instance.
+  ///
+  /// A time without contact in which every call was answered is no outage. May be recorded after
+  /// the contact that ended it.
+  /// @param aDueAt  when the answer was due
+  void RecordUnansweredCall(core::MonotonicTime aDueAt);
+
   /// @brief Records a contact that brought changes, before they are applied.
   /// @param aUpTo  position up to which they are complete
   void RecordContact(core::MonotonicTime aAt, StorePosition aUpTo);
@@ -106,15 +114,20 @@
     core::MonotonicTime usableFrom;
   };
 
-  /// @brief Time in which the store answered no instance.
-  struct Outage
+  /// @brief Time in which the store answered no instance. It was an outage if it left a call of
+  /// this
+  ///        instance unanswered meanwhile.
+  struct Silence
   {
     core::MonotonicTime lastContactAt;
     core::MonotonicTime returnedAt;
     /// @brief Position of the first changes after the return; later ones were made after it.
     std::optional<StorePosition> returnedUpTo;
+    /// @brief Latest known time at which an answer was due that this instance did not get.
+    std::optional<core::MonotonicTime> unansweredAt;
   };
 
+  bool WasOutage() const;
   std::optional<core::MonotonicTime> LapseEnd(StorePosition aRemoval,
                                               core::MonotonicTime aNow) const;
   std::optional<core::MonotonicTime> LapseEndInList(StorePosition aList,
@@ -139,7 +152,8 @@
   ///        copy.
   StorePosition eraListedUpTo;
   std::optional<core::MonotonicTime> lastContactAt;
-  std::optional<Outage> outage;
+  std::optional<core::MonotonicTime> lastUnansweredAt;
+  std::optional<Silence> silence;
   /// @brief When the first full list of the present era was applied, if there was an era before.
   std::optional<core::MonotonicTime> copyListedAt;
 };
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -86,7 +86,7 @@
                  ControlOptions aOptions,
                  Publish aPublish)
   : context(aContext)
-  , store(aStore)
+  , store(aStore, aClock, this->StoreObserver())
   , codec(aCodec)
   , protocol(aProtocol)
   , pool(aPool)
@@ -95,26 +95,33 @@
   , publish(std::move(aPublish))
   , random(core::MakeSeed())
   , configFollower(aContext,
-                   aStore,
+                   this->store,
                    aPool,
                    aClock,
                    aCodec.ConfigKey(),
                    kConfigBatchDelay,
                    [this](const FollowedChanges& aChanges) { this->ApplyConfig(aChanges); })
   , targetFollower(aContext,
-                   aStore,
+                   this->store,
                    aPool,
                    aClock,
                    aCodec.TargetPrefix(),
                    kTargetBatchDelay,
                    [this](const FollowedChanges& aChanges) { this->ApplyTargets(aChanges); })
   , directory(this->options.targetHeartbeat)
-  , leadership(aStore, this->options.self.id, MakeLeaseRules(this->options), [this] {
+  , leadership(this->store, this->options.self.id, MakeLeaseRules(this->options), [this] {
     this->OnLeaseChange();
   })
 {
 }
 
+ObservedStore::Observer
+Control::StoreObserver()
+{
+  return { [this] { this->directory.RecordContact(this->clock.Now()); },
+           [this](core::MonotonicTime aDueAt) { this->directory.RecordUnansweredCall(aDueAt); } };
+}
+
 absl::Status
 Control::Start()
 {
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -16,6 +16,7 @@
 #include "duty_caller.hpp"
 #include "http_listener.hpp"
 #include "lease_keeper.hpp"
+#include "observed_store.hpp"
 #include "store_follower.hpp"
 
 namespace plantainslip::serving {
@@ -146,13 +147,14 @@
   void LogDeparture(const DirectoryChange& aChange,
                     const FollowedChanges& aSource,
                     const std::map<core::TargetId, Target>& aBefore) const;
+  ObservedStore::Observer StoreObserver();
   void PublishUpdate(bool aAnnounce = false);
   void RecordConfirmation(core::MonotonicTime aAt);
   bool HasHealthyWatches() const;
   PeerState OwnState() const;
 
   asio::io_context& context;
-  AsyncStore& store;
+  ObservedStore store;
   const DirectoryCodec& codec;
   const TargetProtocol& protocol;
   ConnectionPool& pool;
--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -52,17 +52,20 @@
   }
   if (aAt >= *this->lastContactAt) {
     if (aAt - *this->lastContactAt >= this->minOutage) {
-      this->outage = Outage{ *this->lastContactAt, aAt, std::nullopt };
+      this->silence = Silence{ *this->lastContactAt, aAt, std::nullopt, this->lastUnansweredAt };
     }
     this->lastContactAt = aAt;
     return;
   }
-  if (!this->outage.has_value() || aAt >= this->outage->returnedAt) {
+  if (!this->silence.has_value() || aAt >= this->silence->returnedAt) {
     return;
   }
-  this->outage->lastContactAt = std::max(this->outage->lastContactAt, aAt);
-  if (this->outage->returnedAt - this->outage->lastContactAt < this->minOutage) {
-    this->outage.reset();
+  const bool wasOutage = this->WasOutage();
+  this->silence->lastContactAt = std::max(this->silence->lastContactAt, aAt);
+  if (this->silence->returnedAt - this->silence->lastContactAt < this->minOutage) {
+    this->silence.reset();
+  }
+  if (wasOutage && !this->WasOutage()) {
     for (auto& [id, lapse] : this->lapses) {
       lapse.keptUntil = aAt;
     }
@@ -73,20 +76,39 @@
 Directory::RecordContact(core::MonotonicTime aAt, StorePosition aUpTo)
 {
   this->RecordContact(aAt);
-  if (this->outage.has_value() && !this->outage->returnedUpTo.has_value()) {
-    this->outage->returnedUpTo = aUpTo;
+  if (this->silence.has_value() && !this->silence->returnedUpTo.has_value()) {
+    this->silence->returnedUpTo = aUpTo;
+  }
+}
+
+void
+Directory::RecordUnansweredCall(core::MonotonicTime aDueAt)
+{
+  const auto latest = [aDueAt](const std::optional<core::MonotonicTime>& aKnown) {
+    return std::max(aKnown.value_or(aDueAt), aDueAt);
+  };
+  this->lastUnansweredAt = latest(this->lastUnansweredAt);
+  if (this->silence.has_value() && aDueAt < this->silence->returnedAt) {
+    this->silence->unansweredAt = latest(this->silence->unansweredAt);
   }
 }
 
+bool
+Directory::WasOutage() const
+{
+  return this->silence.has_value() && this->silence->unansweredAt.has_value() &&
+         *this->silence->unansweredAt >= this->silence->lastContactAt;
+}
+
 // Returns until when an entry that the store has removed is kept, as its lease may have expired in
 // an outage.
 std::optional<core::MonotonicTime>
 Directory::LapseEnd(StorePosition aRemoval, core::MonotonicTime aNow) const
 {
-  if (!this->outage.has_value() || aRemoval > this->outage->returnedUpTo.value_or(aRemoval)) {
+  if (!this->WasOutage() || aRemoval > this->silence->returnedUpTo.value_or(aRemoval)) {
     return std::nullopt;
   }
-  const core::MonotonicTime end = this->outage->returnedAt + kLapseGracePeriod;
+  const core::MonotonicTime end = this->silence->returnedAt + kLapseGracePeriod;
   return aNow < end ? std::optional(end) : std::nullopt;
 }
 
--- a/tests/fakes/wire_store.cpp
+++ b/tests/fakes/wire_store.cpp
@@ -99,6 +99,14 @@
   return found == this->watchCounts.end() ? 0 : found->second;
 }
 
+core::MonotonicTime
+WireStore::LastRenewal(std::chrono::milliseconds aDuration) const
+{
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->renewals.find(aDuration);
+  return found == this->renewals.end() ? core::MonotonicTime{} : found->second;
+}
+
 void
 WireStore::SetMode(Mode aMode)
 {
@@ -269,6 +277,7 @@
     const bool holds = lease < this->nextLease && this->HoldsLease(lease);
     if (holds) {
       this->leases[lease].endsAt = this->clock.Now() + this->leases[lease].duration;
+      this->renewals[this->leases[lease].duration] = this->clock.Now();
     }
     return { holds ? 200 : 404, json{ { "ttlMs", 3'000 } }.dump() };
   }
--- a/tests/fakes/wire_store.hpp
+++ b/tests/fakes/wire_store.hpp
@@ -47,6 +47,9 @@
   /// @brief Returns how many watch calls for a prefix have arrived so far.
   std::size_t CountWatches(const std::string& aPrefix) const;
 
+  /// @brief Returns when the store last renewed a lease of a duration.
+  core::MonotonicTime LastRenewal(std::chrono::milliseconds aDuration) const;
+
   /// @brief Sets how the store responds from now on, also to calls that are waiting.
   void SetMode(Mode aMode);
 
@@ -111,6 +114,8 @@
   /// @brief Leases of this era; only used after ExpireLeases().
   std::map<std::uint64_t, GrantedLease> leases;
   bool expiresLeases = false;
+  /// @brief Times of the last renewals, by the duration of the lease.
+  std::map<std::chrono::milliseconds, core::MonotonicTime> renewals;
   std::map<std::string, std::size_t> watchCounts;
   Mode mode = Mode::kAvailable;
   serving::asio::io_context& context;
--- a/tests/harness/wire_fleet.cpp
+++ b/tests/harness/wire_fleet.cpp
@@ -174,8 +174,8 @@
   // The thread ends once all coroutines of the fakes have ended.
   this->work.reset();
   this->thread.join();
-  if (!this->settingsPath.empty()) {
-    std::remove(this->settingsPath.c_str());
+  for (const std::string& path : this->settingsPaths) {
+    std::remove(path.c_str());
   }
 }
 
@@ -306,18 +306,32 @@
     settings["bounds"]["windowS"] = 2;
     settings["bounds"]["usageLateS"] = 10;
   }
-  const std::string file = "wire-fleet-" + std::to_string(::getpid()) + ".json";
-  this->settingsPath = (std::filesystem::temp_directory_path() / file).string();
-  std::ofstream(this->settingsPath) << settings.dump();
-  ::setenv("PLANTAINSLIP_SETTINGS", this->settingsPath.c_str(), 1);
-  this->gateways.push_back(
-    std::make_unique<ChildProcess>("apps/plantainslip-gateway", std::vector<std::string>{}, false));
+  const std::string file = "wire-fleet-" + std::to_string(::getpid()) + "-" + name + ".json";
+  this->settingsPaths.push_back((std::filesystem::temp_directory_path() / file).string());
+  std::ofstream(this->settingsPaths.back()) << settings.dump();
+  this->gateways.push_back(LaunchGateway(this->settingsPaths.back()));
   if (aAwaitReady) {
     Await("the gateway to be ready", [&] { return this->Readiness() == 200; });
   }
   return *this->gateways.back();
 }
 
+std::unique_ptr<ChildProcess>
+WireFleet::LaunchGateway(const std::string& aSettingsPath)
+{
+  ::setenv("PLANTAINSLIP_SETTINGS", aSettingsPath.c_str(), 1);
+  return std::make_unique<ChildProcess>(
+    "apps/plantainslip-gateway", std::vector<std::string>{}, false);
+}
+
+ChildProcess&
+WireFleet::RestartGateway(std::size_t aIndex)
+{
+  this->gateways.at(aIndex).reset();
+  this->gateways.at(aIndex) = LaunchGateway(this->settingsPaths.at(aIndex));
+  return *this->gateways.at(aIndex);
+}
+
 int
 WireFleet::Readiness() const
 {
--- a/tests/harness/wire_fleet.hpp
+++ b/tests/harness/wire_fleet.hpp
@@ -96,6 +96,9 @@
   /// @param aAwaitReady  whether to wait until it is ready
   ChildProcess& StartGateway(bool aAwaitReady = true);
 
+  /// @brief Kills an instance, if it still runs, and starts it again with the same settings.
+  ChildProcess& RestartGateway(std::size_t aIndex);
+
   /// @brief Returns the status of the last started instance's readiness endpoint, 0 if it does not
   ///        respond.
   int Readiness() const;
@@ -138,16 +141,19 @@
   void AwaitServed(const std::string& aPath, int aStatus) const;
 
 private:
+  static std::unique_ptr<ChildProcess> LaunchGateway(const std::string& aSettingsPath);
+
   serving::asio::io_context context{ 1 };
   serving::asio::executor_work_guard<serving::asio::io_context::executor_type> work;
   std::unique_ptr<fakes::WireStore> store;
   std::vector<std::unique_ptr<fakes::WireTarget>> targets;
   std::vector<std::unique_ptr<PortReservation>> reservations;
   std::vector<std::unique_ptr<ChildProcess>> gateways;
+  /// @brief Settings file of each instance.
+  std::vector<std::string> settingsPaths;
   net::Address callers;
   net::Address readiness;
   net::Address metrics;
-  std::string settingsPath;
   /// @brief Zero for settings without these limits.
   std::uint64_t memoryMegabytes = 0;
   std::uint64_t maxDescriptors = 0;
--- /dev/null
+++ b/tests/src/process-lost-peers.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "harness/wire_fleet.hpp"
+
+using namespace plantainslip; // NOLINT(google-build-using-namespace)
+using fakes::WireTarget;
+using harness::WireFleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time within which instances must stop sending requests to a target that has left.
+constexpr std::chrono::milliseconds kLeaveBound{ 2'000 };
+/// Duration of the leases of instances' own entries, which watchers renew once per second.
+constexpr std::chrono::milliseconds kEntryLease{ 8'000 };
+
+/// Three instances in one zone, of which the last one follows the store through the others.
+class FollowingFleet
+{
+public:
+  FollowingFleet()
+  {
+    this->fleet.Configure(3);
+    this->fleet.StartGateway(false);
+    this->fleet.StartGateway(false);
+    this->fleet.StartGateway();
+    harness::Await("the last instance to follow its peers", [&] {
+      return this->fleet.Gateway(2).Output().find("following the store through peers") !=
+             std::string::npos;
+    });
+    std::this_thread::sleep_for(1s);
+  }
+
+  /// Kills the instances that follow the store, at a time after they renewed their entries.
+  void KillWatchers(std::chrono::milliseconds aSinceRenewal)
+  {
+    harness::Await("the moment after a renewal", [&] {
+      const auto age =
+        std::chrono::steady_clock::now() - this->fleet.Store().LastRenewal(kEntryLease);
+      return age >= aSinceRenewal && age < aSinceRenewal + 50ms;
+    });
+    this->fleet.Gateway(0).Signal(SIGKILL);
+    this->fleet.Gateway(1).Signal(SIGKILL);
+  }
+
+  /// Removes the entry of a target that serves on; returns when the store has acknowledged that.
+  std::chrono::steady_clock::time_point Leave(const WireTarget& aTarget)
+  {
+    this->fleet.RemoveEntry(aTarget.Id());
+    return std::chrono::steady_clock::now();
+  }
+
+  /// Returns how many requests reach a target that are sent to the last instance in a time.
+  std::size_t CountReceived(const WireTarget& aTarget,
+                            std::chrono::steady_clock::time_point aFrom,
+                            std::chrono::steady_clock::time_point aUntil)
+  {
+    std::this_thread::sleep_until(aFrom);
+    const std::size_t before = aTarget.Received().size();
+    while (std::chrono::steady_clock::now() < aUntil) {
+      const std::string id = "r" + std::to_string(++this->requests);
+      CHECK(this->fleet.Call("GET", "/look/x", id).status == 200);
+      std::this_thread::sleep_for(20ms);
+    }
+    return aTarget.Received().size() - before;
+  }
+
+  WireFleet fleet;
+  WireTarget& deskA = this->fleet.AddTarget("i-s0", "desk", "");
+  WireTarget& deskB = this->fleet.AddTarget("i-s1", "desk", "");
+
+private:
+  int requests = 0;
+};
+
+} // namespace
+
+// Guards against taking the silence of peers that have ended for an outage of the store.
+TEST_CASE("a removal is in force in time on an instance whose peers are killed")
+{
+  FollowingFleet following;
+  std::chrono::milliseconds leavesAfter{ 0 };
+  SUBCASE("at that moment") {}
+  SUBCASE("some time before its target leaves")
+  {
+    leavesAfter = 400ms;
+  }
+  following.KillWatchers(900ms);
+  std::this_thread::sleep_for(leavesAfter);
+  const auto left = following.Leave(following.deskA);
+  CHECK(following.CountReceived(following.deskA, left + kLeaveBound, left + 4s) == 0);
+}
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -7,44 +7,16 @@
 #include <plantainslip/serving/peer_message.hpp>
 #include <plantainslip/serving/target_notices.hpp>
 
+#include "harness/directory_changes.hpp"
+
 using namespace plantainslip;          // NOLINT(google-build-using-namespace)
 using namespace plantainslip::serving; // NOLINT(google-build-using-namespace)
+using harness::At;
+using harness::Entry;
+using harness::kHeartbeat;
+using harness::Removal;
 using namespace std::chrono_literals;
 
-namespace {
-
-constexpr milliseconds kHeartbeat{ 1'200 };
-
-StorePosition
-At(std::uint64_t aRevision, std::uint64_t aEra = 1)
-{
-  return { StoreEra(aEra), core::Revision(aRevision) };
-}
-
-DirectoryChange
-Entry(const std::string& aId, std::uint64_t aRevision, bool aLeaving = false)
-{
-  DirectoryChange change;
-  change.id = core::TargetId(aId);
-  change.position = At(aRevision);
-  change.target.emplace();
-  change.target->id = change.id;
-  change.target->leaving = aLeaving;
-  return change;
-}
-
-DirectoryChange
-Removal(const std::string& aId, std::uint64_t aRevision, std::uint64_t aEra = 1)
-{
-  DirectoryChange change;
-  change.id = core::TargetId(aId);
-  change.position = At(aRevision, aEra);
-  change.removed = true;
-  return change;
-}
-
-} // namespace
-
 TEST_CASE("the directory applies only changes with a newer revision")
 {
   Directory directory(kHeartbeat);
@@ -110,93 +82,6 @@
   }
 }
 
-// Guards against losing all targets after an outage in which their leases expired.
-TEST_CASE("entries that were removed in a store outage are kept for a grace period")
-{
-  Directory directory(kHeartbeat);
-  core::MonotonicTime now = core::MonotonicTime{} + 60s;
-  const core::TargetId target("t");
-  directory.RecordContact(now, At(5));
-  directory.Apply(Entry("t", 5), now);
-  directory.Apply(Entry("u", 6), now);
-  now += Directory::kOutageHeartbeats * kHeartbeat;
-  const core::MonotonicTime graceEnd = now + Directory::kLapseGracePeriod;
-  directory.RecordContact(now, At(8));
-  CHECK_FALSE(directory.Apply(Removal("t", 7), now));
-  CHECK(directory.Targets().contains(target));
-  SUBCASE("an entry that is written again stays")
-  {
-    directory.Apply(Entry("t", 9), now + 1s);
-    CHECK_FALSE(directory.ApplyDeadlines(now + 10s));
-    CHECK(directory.Targets().contains(target));
-  }
-  SUBCASE("an entry that is not written again is removed at the end of the grace period")
-  {
-    CHECK_FALSE(directory.ApplyDeadlines(graceEnd - 1ms));
-    CHECK(directory.ApplyDeadlines(graceEnd));
-    CHECK_FALSE(directory.Targets().contains(target));
-  }
-  SUBCASE("the grace period counts from the store's return, not from the news of a removal")
-  {
-    CHECK_FALSE(directory.Apply(Removal("u", 8), graceEnd - 1ms));
-    CHECK(directory.ApplyDeadlines(graceEnd));
-    CHECK(directory.Targets().empty());
-  }
-  SUBCASE("a removal that is read after the grace period is applied immediately")
-  {
-    CHECK(directory.Apply(Removal("u", 8), graceEnd));
-  }
-  SUBCASE("a removal that the store made after its return is applied immediately")
-  {
-    CHECK(directory.Apply(Removal("u", 9), now));
-  }
-  SUBCASE("a contact of a peer shows that the store was not away")
-  {
-    directory.RecordContact(now - kHeartbeat);
-    CHECK(directory.ApplyDeadlines(now));
-    CHECK_FALSE(directory.Targets().contains(target));
-    CHECK(directory.Apply(Removal("u", 8), now));
-  }
-}
-
-TEST_CASE("the grace period after a store outage counts from a peer's first contact")
-{
-  Directory directory(kHeartbeat);
-  core::MonotonicTime now = core::MonotonicTime{} + 60s;
-  directory.RecordContact(now, At(5));
-  directory.Apply(Entry("t", 5), now);
-  now += Directory::kOutageHeartbeats * kHeartbeat;
-  const core::MonotonicTime graceEnd = now + Directory::kLapseGracePeriod;
-  directory.RecordContact(now);
-  now += 500ms;
-  directory.RecordContact(now, At(8));
-  CHECK_FALSE(directory.Apply(Removal("t", 7), now));
-  CHECK_FALSE(directory.ApplyDeadlines(graceEnd - 1ms));
-  CHECK(directory.ApplyDeadlines(graceEnd));
-}
-
-// Guards against requests to targets that have left, after an outage of one instance or zone.
-TEST_CASE("a removal is applied immediately while any instance reaches the store")
-{
-  Directory directory(kHeartbeat);
-  core::MonotonicTime now = core::MonotonicTime{} + 60s;
-  directory.RecordContact(now, At(5));
-  directory.Apply(Entry("t", 5), now);
-  SUBCASE("after a time without contact in which no lease can expire")
-  {
-    now += Directory::kOutageHeartbeats * kHeartbeat - 1ms;
-  }
-  SUBCASE("after a long time in which only peers reached it")
-  {
-    for (int beat = 0; beat < 10; ++beat) {
-      now += kHeartbeat;
-      directory.RecordContact(now);
-    }
-  }
-  directory.RecordContact(now, At(6));
-  CHECK(directory.Apply(Removal("t", 6), now));
-}
-
 TEST_CASE("after the store comes back from a copy, the directory")
 {
   Directory directory(kHeartbeat);
@@ -299,6 +184,7 @@
   SUBCASE("uses a process at once whose entry seemed to have lapsed in an outage")
   {
     directory.RecordContact(now, At(5));
+    directory.RecordUnansweredCall(now + 1s);
     now += 10s;
     directory.RecordContact(now, At(7));
     directory.Apply(Removal("t", 7), now);
