Follow the store as soon as the peers that followed it fall silent

Cause: an instance learnt up to 0.3 s late that its peers had become silent, looked up to 0.25 s later whether it had to follow the store itself, and its first watch could wait for seconds without telling whether the store answers.

Change: silence is reported when it begins to count, a follower that becomes a watcher is woken, and its first watch is a short one.

--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -157,6 +157,16 @@
   return holder;
 }
 
+std::size_t
+LoadExchange::CountLivePeers() const
+{
+  const core::MonotonicTime now = this->path.clock.Now();
+  return static_cast<std::size_t>(
+    std::count_if(this->peers.begin(), this->peers.end(), [now](const auto& aEntry) {
+      return IsAlive(aEntry.second.state, now);
+    }));
+}
+
 void
 LoadExchange::ReportPeers()
 {
@@ -170,6 +180,7 @@
       liveIds.push_back(id);
     }
   }
+  this->reportedPeers = states.size();
   this->path.limits.SetInstances(this->self.id, std::move(liveIds));
   this->demand.SetReport(this->self.id, this->path.demand.Totals(now), this->self.zone);
   this->demand.RemoveUnknown([this](const core::InstanceId& aId) {
@@ -289,7 +300,8 @@
         now - this->sentAt >= kHeartbeatInterval) {
       this->SendToPeers(allZonesDue ? Recipients::kAllZones : Recipients::kOwnZone);
     }
-    if (now - this->reportedAt >= kReportInterval) {
+    // An instance whose peers fall silent may have to follow the store itself.
+    if (now - this->reportedAt >= kReportInterval || this->CountLivePeers() < this->reportedPeers) {
       this->ReportPeers();
     }
   }
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -92,6 +92,7 @@
 
   void SendToPeers(Recipients aRecipients);
   std::size_t CountSameZonePeers() const;
+  std::size_t CountLivePeers() const;
   void ReportPeers();
 
   PeerInstance self;
@@ -110,6 +111,8 @@
   core::MonotonicTime sentToAllZonesAt;
   core::MonotonicTime sentAt;
   core::MonotonicTime reportedAt;
+  /// @brief Number of live peers in the last report.
+  std::size_t reportedPeers = 0;
   std::array<char, 16'384> received{};
 };
 
--- a/src/serving/store_follower.cpp
+++ b/src/serving/store_follower.cpp
@@ -19,14 +19,12 @@
 constexpr milliseconds kWatchTimePerWatcher{ 500 };
 constexpr milliseconds kMinWatchTime{ 2'000 };
 constexpr milliseconds kMaxWatchTime{ 20'000 };
-/// Watch time after a failed store call. A store that has come back has lost the calls that it was
-/// sent before, so a long watch would notice its return late.
+/// Watch time while the store is not known to be reachable. A store that has come back has lost the
+/// calls that it was sent before, so a long watch would notice its return late.
 constexpr milliseconds kProbeWatchTime{ 100 };
 /// Backoff after failed store calls, doubled up to the maximum.
 constexpr milliseconds kMinBackoff{ 100 };
 constexpr milliseconds kMaxBackoff{ 800 };
-/// Interval at which an instance that is no watcher checks whether it has become one.
-constexpr milliseconds kDutyCheckInterval{ 250 };
 /// Delay between the first list and the first watch, in which peers are discovered by their
 /// messages.
 constexpr milliseconds kPeerDiscoveryTime{ 800 };
@@ -100,9 +98,20 @@
   , batchDelay(aBatchDelay)
   , onChanges(std::move(aOnChanges))
   , random(core::MakeSeed())
+  , dutyTimer(aContext)
 {
 }
 
+void
+StoreFollower::SetDuty(const WatchDuty& aDuty)
+{
+  const bool begins = aDuty.isWatcher && !this->duty.isWatcher;
+  this->duty = aDuty;
+  if (begins) {
+    this->dutyTimer.cancel();
+  }
+}
+
 milliseconds
 StoreFollower::NextWatchTimeout()
 {
@@ -214,7 +223,11 @@
   milliseconds backoff = kMinBackoff;
   while (true) {
     if (!this->needsFullList && !this->duty.isWatcher) {
-      co_await SleepFor(kDutyCheckInterval);
+      // The first watch is a short one: whether the store can be reached is not known.
+      this->storeReachable = false;
+      this->dutyTimer.expires_at(core::MonotonicTime::max());
+      ErrorCode cancelled;
+      co_await this->dutyTimer.async_wait(RedirectError(cancelled));
       continue;
     }
     if (co_await this->ReadStore()) {
--- a/src/serving/store_follower.hpp
+++ b/src/serving/store_follower.hpp
@@ -49,8 +49,9 @@
   /// @brief Follows the prefix until the process ends.
   Task<void> Run();
 
-  /// @brief Sets whether the instance watches the store itself, from the next call on.
-  void SetDuty(const WatchDuty& aDuty) { this->duty = aDuty; }
+  /// @brief Sets whether the instance watches the store itself: at once if it did not, and after
+  ///        the present call if it did.
+  void SetDuty(const WatchDuty& aDuty);
 
   /// @brief Handles the position that a peer reports; fetches missing changes from the peer unless
   ///        they arrive by this instance's own watch.
@@ -88,6 +89,8 @@
   OnChanges onChanges;
   core::RandomSource random;
   WatchDuty duty;
+  /// @brief Waits until the instance becomes a watcher.
+  asio::steady_timer dutyTimer;
   Replica replica;
   /// @brief Latest position of an applied change.
   StorePosition newestChange;
