Hear a restarted peer at once

Cause: message numbers begin at 1 with each process, and messages did not say which process they are of. What was kept of the peer (state, loads, token of a lease) described a process that had ended.

Change: messages name the sender's process. Another one is a restart; messages of the one before it are dropped. An instance relies on a peer as a watcher only once that has read the store.

--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -12,11 +12,16 @@
 
 namespace plantainslip::serving {
 
+/// @brief Process of an instance, drawn at random at its start.
+using ProcessId = core::StrongNumber<struct ProcessIdTag>;
+
 /// @brief State and load report that an instance sends to its peers several times per second, in
 ///        one datagram.
 struct PeerMessage
 {
   core::InstanceId sender;
+  /// @brief The sender's process; another one is a restart, which knows nothing of before.
+  ProcessId process;
   /// @brief Incremented with each message of the sender's process, so that stale messages are
   ///        detected.
   std::uint64_t sequence = 0;
--- a/include/plantainslip/serving/watch_duty.hpp
+++ b/include/plantainslip/serving/watch_duty.hpp
@@ -53,7 +53,8 @@
 ///
 /// The number of store calls grows with the number of zones, not with the number of instances. In
 /// each zone the instances with the highest bandwidth watch the store; the others do so only while
-/// no peer confirms that their revisions are the newest.
+/// no peer confirms that their revisions are the newest. Nobody relies on a peer that has not read
+/// the store yet.
 /// @param aPeers  other instances from which messages were received
 /// @return the duty; linear in the number of peers times its logarithm
 WatchDuty
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "load_exchange.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <plantainslip/core/log.hpp>
 #include <plantainslip/serving/errors.hpp>
@@ -95,12 +96,13 @@
   Peer& peer = this->peers[aMessage.sender];
   const core::MonotonicTime now = this->path.clock.Now();
   PeerState& state = peer.state;
-  const bool restarted = peer.endpoint != aFrom || now - state.lastMessageAt > kUnlistedLifetime;
-  if (!restarted && aMessage.sequence <= peer.sequence) {
+  const bool restarted = aMessage.process != peer.process;
+  if (restarted ? aMessage.process == peer.previousProcess : aMessage.sequence <= peer.sequence) {
     return;
   }
   if (restarted) {
     this->path.quarantine.ReportAllQuarantines(now);
+    peer.previousProcess = std::exchange(peer.process, aMessage.process);
   }
   peer.sequence = aMessage.sequence;
   peer.endpoint = aFrom;
@@ -118,11 +120,11 @@
   this->path.loads.SetPeerReport(aMessage.sender, aMessage.loads, now);
   this->demand.SetReport(aMessage.sender, aMessage.demand, aMessage.zone);
   this->path.health.SetPeerReport(aMessage.sender, aMessage.unreachable, now);
-  for (const TargetProcess& process : aMessage.leaving) {
-    if (this->path.notices.RecordLeaving(process, now)) {
+  for (const TargetProcess& leaving : aMessage.leaving) {
+    if (this->path.notices.RecordLeaving(leaving, now)) {
       core::Log(core::LogLevel::kInfo,
                 "target is leaving, according to a peer",
-                { { "target", process.id.Text() }, { "peer", aMessage.sender.Text() } });
+                { { "target", leaving.id.Text() }, { "peer", aMessage.sender.Text() } });
     }
   }
   for (const RateStatement& statement : aMessage.limits) {
@@ -255,6 +257,7 @@
   const core::MonotonicTime now = this->path.clock.Now();
   PeerMessage message;
   message.sender = this->self.id;
+  message.process = this->process;
   message.sequence = ++this->sequence;
   message.zone = this->self.zone;
   message.linkMbps = this->linkMbps;
--- a/src/serving/load_exchange.hpp
+++ b/src/serving/load_exchange.hpp
@@ -72,6 +72,9 @@
     PeerState state;
     /// @brief Whether the store lists the peer.
     bool listed = false;
+    ProcessId process;
+    /// @brief Process before the present one, whose last messages may still arrive.
+    ProcessId previousProcess;
     std::uint64_t sequence = 0;
   };
 
@@ -104,6 +107,7 @@
   asio::steady_timer timer;
   std::map<core::InstanceId, Peer> peers;
   FleetDemand demand;
+  ProcessId process{ core::MakeSeed() };
   std::uint64_t sequence = 0;
   core::FencingToken heldToken;
   LoadTable lastSent;
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -53,6 +53,19 @@
   return true;
 }
 
+// Returns whether the value is well-formed.
+bool
+DecodeOrigin(const json& aValue, PeerMessage& aMessage)
+{
+  if (!aValue.is_array() || aValue.size() != 2 || !aValue[0].is_number_unsigned() ||
+      !aValue[1].is_number_unsigned()) {
+    return false;
+  }
+  aMessage.process = ProcessId(aValue[0].get<std::uint64_t>());
+  aMessage.sequence = aValue[1].get<std::uint64_t>();
+  return true;
+}
+
 json
 EncodeProcesses(const std::vector<TargetProcess>& aProcesses)
 {
@@ -320,7 +333,7 @@
     unreachable.push_back(target.Text());
   }
   json message = json::array({ aMessage.sender.Text(),
-                               aMessage.sequence,
+                               json::array({ aMessage.process.Number(), aMessage.sequence }),
                                EncodePosition(aMessage.configPosition),
                                EncodePosition(aMessage.targetsPosition),
                                std::move(loads),
@@ -358,7 +371,7 @@
   constexpr std::size_t kHolderField = 13;
   constexpr std::size_t kHeldField = 14;
   if (!message.is_array() || message.size() < kFields || !message[0].is_string() ||
-      !message[1].is_number_unsigned() || !DecodePosition(message[2], read.configPosition) ||
+      !DecodeOrigin(message[1], read) || !DecodePosition(message[2], read.configPosition) ||
       !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
       !message[5].is_string() || !message[6].is_number_unsigned() ||
       !message[7].is_number_unsigned() || !message[8].is_array() ||
@@ -372,7 +385,6 @@
     read.heldToken = core::FencingToken(message[kHolderField].get<std::uint64_t>());
   }
   read.sender = core::InstanceId(message[0].get<std::string>());
-  read.sequence = message[1].get<std::uint64_t>();
   read.zone = core::ZoneId(message[5].get<std::string>());
   read.linkMbps = message[6].get<double>();
   read.confirmedAge = milliseconds(message[7].get<std::int64_t>());
--- a/src/serving/watch_duty.cpp
+++ b/src/serving/watch_duty.cpp
@@ -25,8 +25,9 @@
   for (const PeerState& peer : aPeers) {
     if (IsAlive(peer, aNow)) {
       ++instanceCounts[peer.zone];
+      const bool hasRead = peer.targetsPosition != StorePosition{};
       precedingPeers +=
-        static_cast<std::size_t>(peer.zone == aSelf.zone && RanksBefore(peer, aSelf));
+        static_cast<std::size_t>(peer.zone == aSelf.zone && hasRead && RanksBefore(peer, aSelf));
     }
   }
   WatchDuty duty;
--- a/tests/src/process-lost-peers.cpp
+++ b/tests/src/process-lost-peers.cpp
@@ -28,13 +28,23 @@
     this->fleet.StartGateway(false);
     this->fleet.StartGateway(false);
     this->fleet.StartGateway();
-    harness::Await("the last instance to follow its peers", [&] {
-      return this->fleet.Gateway(2).Output().find("following the store through peers") !=
-             std::string::npos;
-    });
+    harness::Await("the last instance to follow its peers",
+                   [&] { return this->CountLines("following the store through peers") > 0; });
     std::this_thread::sleep_for(1s);
   }
 
+  /// Returns how many lines of the last instance's log have a text.
+  std::size_t CountLines(const std::string& aText)
+  {
+    const std::string output = this->fleet.Gateway(2).Output();
+    std::size_t count = 0;
+    for (std::size_t at = output.find(aText); at != std::string::npos;
+         at = output.find(aText, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
   /// Kills the instances that follow the store, at a time after they renewed their entries.
   void KillWatchers(std::chrono::milliseconds aSinceRenewal)
   {
@@ -94,3 +104,16 @@
   const auto left = following.Leave(following.deskA);
   CHECK(following.CountReceived(following.deskA, left + kLeaveBound, left + 4s) == 0);
 }
+
+// Guards against ignoring a process that was started again because of the one before it.
+TEST_CASE("an instance hears of peers that are started again before it counts them as dead")
+{
+  FollowingFleet following;
+  const std::size_t before = following.CountLines("following the store directly");
+  following.fleet.RestartGateway(0);
+  following.fleet.RestartGateway(1);
+  std::this_thread::sleep_for(3s);
+  CHECK(following.CountLines("following the store directly") == before);
+  const auto left = following.Leave(following.deskA);
+  CHECK(following.CountReceived(following.deskA, left + kLeaveBound, left + 3s) == 0);
+}
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -319,6 +319,7 @@
 {
   PeerMessage message;
   message.sender = core::InstanceId("one");
+  message.process = ProcessId(77);
   message.sequence = 9;
   message.configPosition = At(3);
   message.targetsPosition = At(4);
@@ -351,6 +352,7 @@
   REQUIRE(read.ok());
   CHECK(read->crashes == message.crashes);
   CHECK(read->sender == message.sender);
+  CHECK(read->process == ProcessId(77));
   CHECK(read->sequence == 9);
   CHECK(read->targetsPosition == At(4));
   CHECK(read->loads == message.loads);
--- a/tests/src/unit-watch-duty.cpp
+++ b/tests/src/unit-watch-duty.cpp
@@ -103,6 +103,11 @@
     peers[0].lastMessageAt = kNow - kPeerLivenessTimeout - 1ms;
     CHECK(DecideWatchDuty(self, peers, kNow).isWatcher);
   }
+  SUBCASE("is not left to a peer that has just started and has not read the store yet")
+  {
+    peers[0].targetsPosition = {};
+    CHECK(DecideWatchDuty(self, peers, kNow).isWatcher);
+  }
   SUBCASE("is not left to peers of another zone, which may be cut off")
   {
     peers[0].zone = core::ZoneId("b");
