Announce what an instance knows as a position and a digest of the content

Cause: an instance announced the position of the newest entry that it had been given. A full list shows a removal by a gap, which has no position, so instances with and without the target announced the same.

Fix: each copy of a prefix has a state, the position up to which all changes are applied and a digest of its keys and positions. An instance asks a peer that is later and differs. The position alone would not do, as it grows with every write of other prefixes. Confirmations by peers are judged by the same state, and the configuration is treated as the targets are.

--- a/apps/gateway/gateway.cpp
+++ b/apps/gateway/gateway.cpp
@@ -161,8 +161,8 @@
 Gateway::ApplyUpdate(serving::ControlUpdate aUpdate)
 {
   const bool firstConfig = this->path.fleet->config == nullptr && aUpdate.fleet->config != nullptr;
-  if (aUpdate.fleet->configPosition > this->path.fleet->configPosition ||
-      aUpdate.fleet->targetsPosition > this->path.fleet->targetsPosition) {
+  if (aUpdate.fleet->configState.content != this->path.fleet->configState.content ||
+      aUpdate.fleet->targetsState.content != this->path.fleet->targetsState.content) {
     this->metrics.Count("store_changes_total", aUpdate.announce ? "store" : "peer");
   }
   const bool newConfig = aUpdate.fleet->config != this->path.fleet->config;
--- a/include/plantainslip/serving/fleet.hpp
+++ b/include/plantainslip/serving/fleet.hpp
@@ -11,7 +11,7 @@
 #include <plantainslip/core/clock.hpp>
 #include <plantainslip/core/ids.hpp>
 #include <plantainslip/net/address.hpp>
-#include <plantainslip/serving/store_items.hpp>
+#include <plantainslip/serving/replica_state.hpp>
 
 namespace plantainslip::workspaces {
 class KeyTable;
@@ -162,9 +162,9 @@
 {
   std::shared_ptr<const ServingConfig> config;
   std::map<core::TargetId, Target> targets;
-  /// @brief Store positions at which the configuration and the targets were read.
-  StorePosition configPosition;
-  StorePosition targetsPosition;
+  /// @brief Copies of the store that the configuration and the targets were read from.
+  ReplicaState configState;
+  ReplicaState targetsState;
 };
 
 /// @brief Finds the route of a request: the longest matching prefix among the host's routes.
--- a/include/plantainslip/serving/peer_message.hpp
+++ b/include/plantainslip/serving/peer_message.hpp
@@ -28,9 +28,10 @@
   core::ZoneId zone;
   /// @brief Bandwidth of the sender's link in megabits per second.
   double linkMbps = 0.0;
-  StorePosition configPosition;
-  StorePosition targetsPosition;
-  /// @brief Time since the store last confirmed that these revisions are the newest.
+  /// @brief What the sender knows of the configuration and of the targets.
+  ReplicaState configState;
+  ReplicaState targetsState;
+  /// @brief Time since the store last confirmed that this is the newest state.
   milliseconds confirmedAge{ 0 };
   /// @brief Outstanding work that the sender has sent to targets.
   LoadTable loads;
--- a/include/plantainslip/serving/replica.hpp
+++ b/include/plantainslip/serving/replica.hpp
@@ -8,7 +8,7 @@
 
 #include <absl/status/statusor.h>
 
-#include <plantainslip/serving/store_items.hpp>
+#include <plantainslip/serving/replica_state.hpp>
 
 namespace plantainslip::serving {
 
@@ -49,14 +49,20 @@
   /// @brief Returns the position up to which the copy is complete; zero before the first list.
   StorePosition UpTo() const { return this->upTo; }
 
+  /// @brief Returns what the copy holds. Constant time.
+  ReplicaState State() const { return { this->upTo, ContentDigest(this->content) }; }
+
 private:
   void Merge(const StoreItem& aItem);
+  void Replace(StoreItem& aKnown, const StoreItem& aNew);
 
   std::map<std::string, StoreItem> items;
   std::size_t removalCount = 0;
   /// @brief Removals before this position may have been discarded or never received.
   StorePosition removalsKnownFrom;
   StorePosition upTo;
+  /// @brief Digest of the present items, see ContentDigest.
+  std::uint64_t content = 0;
 };
 
 /// @brief Encodes changes as CBOR. Linear in their size.
--- a/include/plantainslip/serving/watch_duty.hpp
+++ b/include/plantainslip/serving/watch_duty.hpp
@@ -17,11 +17,11 @@
   ///        peers.
   double linkMbps = 0.0;
   core::MonotonicTime lastMessageAt;
-  /// @brief When the store last confirmed, directly or through other peers, that the peer's
-  ///        revisions are the newest.
+  /// @brief When the store last confirmed, directly or through other peers, that the peer knows the
+  ///        newest configuration and targets.
   core::MonotonicTime confirmedAt;
-  StorePosition configPosition;
-  StorePosition targetsPosition;
+  ReplicaState configState;
+  ReplicaState targetsState;
   /// @brief Token with which the peer states to hold the fleet's lease; zero if it does not.
   core::FencingToken heldToken = {};
 };
@@ -65,7 +65,8 @@
 /// @brief Returns the latest time at which the store confirmed an instance's revisions as the
 ///        newest, according to the instance itself and to its live peers.
 ///
-/// Peers that know a newer revision are ignored, as their confirmation is about other data.
+/// Peers that know changes which the instance may lack are ignored, as their confirmation is about
+/// other data.
 /// @return the time, at least that of aSelf; linear in the number of peers
 core::MonotonicTime
 LatestPeerConfirmation(const PeerState& aSelf,
--- a/src/scaling/scaling_duty.cpp
+++ b/src/scaling/scaling_duty.cpp
@@ -107,7 +107,7 @@
 void
 ScalingDuty::CheckDirectory(const serving::DutyInput& aInput)
 {
-  const serving::StoreEra era = aInput.fleet->targetsPosition.era;
+  const serving::StoreEra era = aInput.fleet->targetsState.upTo.era;
   if (era != this->knownEra) {
     if (this->knownEra != serving::StoreEra{}) {
       this->incompleteUntil = this->clock.Now() + kRebuildTime;
--- a/src/serving/control.cpp
+++ b/src/serving/control.cpp
@@ -155,8 +155,8 @@
   state.address = this->options.self.address;
   state.linkMbps = this->options.linkMbps;
   state.confirmedAt = this->confirmedAt;
-  state.configPosition = this->configPosition;
-  state.targetsPosition = this->targetsPosition;
+  state.configState = this->configFollower.State();
+  state.targetsState = this->targetFollower.State();
   return state;
 }
 
@@ -207,8 +207,8 @@
       this->directory.RecordContact(std::min(peer.confirmedAt, peer.lastMessageAt));
     }
     const bool sameZone = peer.zone == this->options.self.zone;
-    this->configFollower.OnPeerPosition(peer.configPosition, peer.address, sameZone);
-    this->targetFollower.OnPeerPosition(peer.targetsPosition, peer.address, sameZone);
+    this->configFollower.OnPeerState(peer.configState, peer.address, sameZone);
+    this->targetFollower.OnPeerState(peer.targetsState, peer.address, sameZone);
   }
   this->livePeerCount = static_cast<std::size_t>(std::count_if(
     aPeers.begin(), aPeers.end(), [&](const auto& aPeer) { return IsAlive(aPeer, now); }));
@@ -250,6 +250,7 @@
                 "configuration invalid; the previous one stays in force",
                 { { "revision", std::to_string(item.position.revision.Number()) },
                   { "error", std::string(read.status().message()) } });
+      this->PublishUpdate(aChanges.origin == ChangeOrigin::kStore);
       continue;
     }
     this->configPosition = item.position;
@@ -297,7 +298,6 @@
                   { { "key", item.key }, { "error", std::string(read.status().message()) } });
       }
     }
-    this->targetsPosition = std::max(this->targetsPosition, item.position);
     changes.push_back(std::move(change));
   }
   const core::MonotonicTime now = this->clock.Now();
@@ -321,8 +321,10 @@
     core::Log(core::LogLevel::kInfo,
               "targets changed",
               { { "targets", std::to_string(this->directory.Targets().size()) },
-                { "revision", std::to_string(this->targetsPosition.revision.Number()) },
+                { "revision", std::to_string(aChanges.items.upTo.revision.Number()) },
                 { "origin", OriginName(aChanges.origin) } });
+  }
+  if (changed || aChanges.isNews) {
     this->PublishUpdate(aChanges.origin == ChangeOrigin::kStore);
   }
 }
@@ -371,8 +373,8 @@
   auto fleet = std::make_shared<FleetSnapshot>();
   fleet->config = this->config;
   fleet->targets = this->directory.Targets();
-  fleet->configPosition = this->configPosition;
-  fleet->targetsPosition = this->targetsPosition;
+  fleet->configState = this->configFollower.State();
+  fleet->targetsState = this->targetFollower.State();
   ControlUpdate update;
   update.fleet = std::move(fleet);
   update.confirmedAt = this->confirmedAt;
--- a/src/serving/control.hpp
+++ b/src/serving/control.hpp
@@ -169,8 +169,8 @@
   WatchDuty duty;
   Directory directory;
   std::shared_ptr<const ServingConfig> config;
+  /// @brief Position of the last configuration that could be read.
   StorePosition configPosition;
-  StorePosition targetsPosition;
   core::MonotonicTime confirmedAt;
   std::vector<PeerInstance> peers;
   /// @brief Number of peers that are alive.
--- a/src/serving/control_duties.cpp
+++ b/src/serving/control_duties.cpp
@@ -79,8 +79,8 @@
   DutyInput input;
   auto fleet = std::make_shared<FleetSnapshot>(this->ExpectedFleet());
   fleet->config = this->config;
-  fleet->configPosition = this->configPosition;
-  fleet->targetsPosition = this->targetsPosition;
+  fleet->configState = this->configFollower.State();
+  fleet->targetsState = this->targetFollower.State();
   input.fleet = std::move(fleet);
   for (const auto& [service, estimator] : this->demand) {
     if (const auto current = estimator.Current(); current.has_value()) {
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -106,16 +106,16 @@
   }
   peer.sequence = aMessage.sequence;
   peer.endpoint = aFrom;
-  const bool newer = aMessage.configPosition > state.configPosition ||
-                     aMessage.targetsPosition > state.targetsPosition;
+  const bool changed = aMessage.configState.content != state.configState.content ||
+                       aMessage.targetsState.content != state.targetsState.content;
   state = { aMessage.sender,
             aMessage.zone,
             { aFrom.address().to_string(), aFrom.port() },
             aMessage.linkMbps,
             now,
             now - aMessage.confirmedAge,
-            aMessage.configPosition,
-            aMessage.targetsPosition,
+            aMessage.configState,
+            aMessage.targetsState,
             aMessage.heldToken };
   this->path.loads.SetPeerReport(aMessage.sender, aMessage.loads, now);
   this->demand.SetReport(aMessage.sender, aMessage.demand, aMessage.zone);
@@ -135,9 +135,9 @@
     LogQuarantineChanges(this->path);
   }
   const FleetSnapshot& fleet = *this->path.fleet;
-  const bool knowsMore = aMessage.configPosition > fleet.configPosition ||
-                         aMessage.targetsPosition > fleet.targetsPosition;
-  if (newer && knowsMore) {
+  const bool knowsMore = MayLackChanges(fleet.configState, aMessage.configState) ||
+                         MayLackChanges(fleet.targetsState, aMessage.targetsState);
+  if (changed && knowsMore) {
     this->ReportPeers();
   }
 }
@@ -263,8 +263,8 @@
   message.linkMbps = this->linkMbps;
   const auto age = std::chrono::duration_cast<milliseconds>(now - this->path.confirmedAt);
   message.confirmedAge = std::clamp(age, milliseconds(0), kMaxConfirmedAge);
-  message.configPosition = this->path.fleet->configPosition;
-  message.targetsPosition = this->path.fleet->targetsPosition;
+  message.configState = this->path.fleet->configState;
+  message.targetsState = this->path.fleet->targetsState;
   message.loads = this->path.loads.OwnLoads();
   message.demand = this->path.demand.Totals(now);
   message.unreachable = this->path.health.UnreachableTargets(now);
--- a/src/serving/peer_message.cpp
+++ b/src/serving/peer_message.cpp
@@ -35,21 +35,25 @@
 }
 
 json
-EncodePosition(const StorePosition& aPosition)
+EncodeState(const ReplicaState& aState)
 {
-  return json::array({ aPosition.era.Number(), aPosition.revision.Number() });
+  return json::array(
+    { aState.upTo.era.Number(), aState.upTo.revision.Number(), aState.content.Number() });
 }
 
 // Returns whether the value is well-formed.
 bool
-DecodePosition(const json& aValue, StorePosition& aPosition)
+DecodeState(const json& aValue, ReplicaState& aState)
 {
-  if (!aValue.is_array() || aValue.size() != 2 || !aValue[0].is_number_unsigned() ||
-      !aValue[1].is_number_unsigned()) {
+  constexpr std::size_t kFields = 3;
+  const auto isNumber = [](const json& aField) { return aField.is_number_unsigned(); };
+  if (!aValue.is_array() || aValue.size() != kFields ||
+      !std::all_of(aValue.begin(), aValue.end(), isNumber)) {
     return false;
   }
-  aPosition = { StoreEra(aValue[0].get<std::uint64_t>()),
-                core::Revision(aValue[1].get<std::uint64_t>()) };
+  aState.upTo = { StoreEra(aValue[0].get<std::uint64_t>()),
+                  core::Revision(aValue[1].get<std::uint64_t>()) };
+  aState.content = ContentDigest(aValue[2].get<std::uint64_t>());
   return true;
 }
 
@@ -334,8 +338,8 @@
   }
   json message = json::array({ aMessage.sender.Text(),
                                json::array({ aMessage.process.Number(), aMessage.sequence }),
-                               EncodePosition(aMessage.configPosition),
-                               EncodePosition(aMessage.targetsPosition),
+                               EncodeState(aMessage.configState),
+                               EncodeState(aMessage.targetsState),
                                std::move(loads),
                                aMessage.zone.Text(),
                                static_cast<std::uint64_t>(aMessage.linkMbps),
@@ -371,8 +375,8 @@
   constexpr std::size_t kHolderField = 13;
   constexpr std::size_t kHeldField = 14;
   if (!message.is_array() || message.size() < kFields || !message[0].is_string() ||
-      !DecodeOrigin(message[1], read) || !DecodePosition(message[2], read.configPosition) ||
-      !DecodePosition(message[3], read.targetsPosition) || !message[4].is_array() ||
+      !DecodeOrigin(message[1], read) || !DecodeState(message[2], read.configState) ||
+      !DecodeState(message[3], read.targetsState) || !message[4].is_array() ||
       !message[5].is_string() || !message[6].is_number_unsigned() ||
       !message[7].is_number_unsigned() || !message[8].is_array() ||
       !DecodeDemand(message[9], read.demand) || !DecodeProcesses(message[10], read.leaving) ||
--- a/src/serving/replica.cpp
+++ b/src/serving/replica.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <plantainslip/serving/errors.hpp>
 
@@ -11,6 +12,28 @@
 
 using nlohmann::json;
 
+namespace {
+
+// Returns an item's part of the content digest, which is the exclusive or of the parts.
+std::uint64_t
+DigestOf(const StoreItem& aItem)
+{
+  const bool isPresent = !aItem.removed && aItem.position != StorePosition{};
+  const std::uint64_t position = FencingTokenAt(aItem.position).Number();
+  return isPresent ? XXH64(aItem.key.data(), aItem.key.size(), position) : 0;
+}
+
+} // namespace
+
+void
+Replica::Replace(StoreItem& aKnown, const StoreItem& aNew)
+{
+  this->content ^= DigestOf(aKnown) ^ DigestOf(aNew);
+  this->removalCount -= aKnown.removed ? 1 : 0;
+  this->removalCount += aNew.removed ? 1 : 0;
+  aKnown = aNew;
+}
+
 void
 Replica::Merge(const StoreItem& aItem)
 {
@@ -18,9 +41,7 @@
   if (aItem.position <= known.position) {
     return;
   }
-  this->removalCount -= known.removed ? 1 : 0;
-  this->removalCount += aItem.removed ? 1 : 0;
-  known = aItem;
+  this->Replace(known, aItem);
 }
 
 bool
@@ -40,10 +61,7 @@
     for (auto& [key, item] : this->items) {
       if (!item.removed && !listed.contains(key) && item.position <= aItems.upTo) {
         // The revision of the removal is unknown; it is the list's revision at the latest.
-        item.removed = true;
-        item.value.clear();
-        item.position = aItems.upTo;
-        ++this->removalCount;
+        this->Replace(item, { key, "", aItems.upTo, true });
       }
     }
     const bool isFirst = this->upTo == StorePosition{};
--- a/src/serving/store_follower.cpp
+++ b/src/serving/store_follower.cpp
@@ -144,6 +144,7 @@
 StoreFollower::ApplyChanges(const StoreItems& aItems, bool aIsSnapshot, ChangeOrigin aOrigin)
 {
   const StorePosition before = this->replica.UpTo();
+  const ContentDigest contentBefore = this->State().content;
   if (!this->replica.Apply(aItems, aIsSnapshot)) {
     core::Log(core::LogLevel::kInfo,
               "store changes older than those known; ignored",
@@ -165,7 +166,8 @@
   for (const StoreItem& item : aItems.items) {
     this->newestChange = std::max(this->newestChange, item.position);
   }
-  this->onChanges(FollowedChanges{ aItems, aIsSnapshot, aOrigin });
+  const bool isNews = this->State().content != contentBefore;
+  this->onChanges(FollowedChanges{ aItems, aIsSnapshot, aOrigin, isNews });
   return true;
 }
 
@@ -239,22 +241,29 @@
   }
 }
 
+bool
+StoreFollower::LacksChangesOf(const ReplicaState& aPeerState) const
+{
+  ReplicaState own = this->State();
+  own.upTo = std::max(own.upTo, this->newestChange);
+  return MayLackChanges(own, aPeerState);
+}
+
 void
-StoreFollower::OnPeerPosition(StorePosition aPeerPosition,
-                              const net::Address& aPeer,
-                              bool aSameZone)
+StoreFollower::OnPeerState(const ReplicaState& aPeerState,
+                           const net::Address& aPeer,
+                           bool aSameZone)
 {
-  if (this->catchingUp || !this->IsInitialized() || aPeerPosition <= this->newestChange ||
-      aPeerPosition <= this->replica.UpTo()) {
+  if (this->catchingUp || !this->IsInitialized() || !this->LacksChangesOf(aPeerState)) {
     return;
   }
   this->catchingUp = true;
   const auto delay =
     this->duty.isWatcher ? kOwnWatchDelay : (aSameZone ? milliseconds(0) : kCrossZoneDelay);
-  Spawn(this->context, "catch up", [this, aPeerPosition, aPeer, delay]() -> Task<void> {
+  Spawn(this->context, "catch up", [this, aPeerState, aPeer, delay]() -> Task<void> {
     // Also reset if an exception ends the attempt, so that the next one can start.
     const std::shared_ptr<bool> reset(&this->catchingUp, [](bool* aFlag) { *aFlag = false; });
-    co_await this->CatchUp(aPeerPosition, aPeer, delay);
+    co_await this->CatchUp(aPeerState, aPeer, delay);
   });
 }
 
@@ -278,16 +287,16 @@
 }
 
 Task<void>
-StoreFollower::CatchUp(StorePosition aPeerPosition, net::Address aPeer, milliseconds aDelay)
+StoreFollower::CatchUp(ReplicaState aPeerState, net::Address aPeer, milliseconds aDelay)
 {
   if (aDelay.count() > 0) {
     co_await SleepFor(aDelay);
   }
-  if (this->replica.UpTo() >= aPeerPosition) {
+  if (!this->LacksChangesOf(aPeerState)) {
     co_return;
   }
   co_await this->FetchFromPeer(std::move(aPeer));
-  if (this->replica.UpTo() >= aPeerPosition) {
+  if (!this->LacksChangesOf(aPeerState)) {
     co_return;
   }
   const auto items = co_await this->store.List(this->prefix, Freshness::kNewest);
--- a/src/serving/store_follower.hpp
+++ b/src/serving/store_follower.hpp
@@ -28,6 +28,8 @@
   /// @brief Whether the items are a full list, so that missing keys were removed.
   bool isSnapshot = false;
   ChangeOrigin origin = ChangeOrigin::kStore;
+  /// @brief Whether the followed prefix has changed, as peers see it.
+  bool isNews = false;
 };
 
 /// @brief Follows one prefix of the store: by watches if the instance is a watcher, else by
@@ -53,10 +55,14 @@
   ///        the present call if it did.
   void SetDuty(const WatchDuty& aDuty);
 
-  /// @brief Handles the position that a peer reports; fetches missing changes from the peer unless
-  ///        they arrive by this instance's own watch.
+  /// @brief Handles the state that a peer reports; fetches missing changes from the peer unless
+  /// they
+  ///        arrive by this instance's own watch.
   /// @param aSameZone  whether the peer is in this instance's availability zone
-  void OnPeerPosition(StorePosition aPeerPosition, const net::Address& aPeer, bool aSameZone);
+  void OnPeerState(const ReplicaState& aPeerState, const net::Address& aPeer, bool aSameZone);
+
+  /// @brief Returns what this instance knows of the prefix.
+  ReplicaState State() const { return this->replica.State(); }
 
   /// @brief Returns whether this instance watches the store, and its watch is neither failing nor
   ///        overdue.
@@ -74,8 +80,9 @@
 
 private:
   Task<bool> ReadStore();
-  Task<void> CatchUp(StorePosition aPeerPosition, net::Address aPeer, milliseconds aDelay);
+  Task<void> CatchUp(ReplicaState aPeerState, net::Address aPeer, milliseconds aDelay);
   Task<bool> FetchFromPeer(net::Address aPeer);
+  bool LacksChangesOf(const ReplicaState& aPeerState) const;
   bool ApplyChanges(const StoreItems& aItems, bool aIsSnapshot, ChangeOrigin aOrigin);
   void RecordOutage(const absl::Status& aStatus);
   milliseconds NextWatchTimeout();
--- a/src/serving/watch_duty.cpp
+++ b/src/serving/watch_duty.cpp
@@ -25,7 +25,7 @@
   for (const PeerState& peer : aPeers) {
     if (IsAlive(peer, aNow)) {
       ++instanceCounts[peer.zone];
-      const bool hasRead = peer.targetsPosition != StorePosition{};
+      const bool hasRead = peer.targetsState.upTo != StorePosition{};
       precedingPeers +=
         static_cast<std::size_t>(peer.zone == aSelf.zone && hasRead && RanksBefore(peer, aSelf));
     }
@@ -47,9 +47,9 @@
 {
   core::MonotonicTime latest = aSelf.confirmedAt;
   for (const PeerState& peer : aPeers) {
-    const bool hasNoNewerData =
-      peer.configPosition <= aSelf.configPosition && peer.targetsPosition <= aSelf.targetsPosition;
-    if (hasNoNewerData && IsAlive(peer, aNow)) {
+    const bool hasNewerData = MayLackChanges(aSelf.configState, peer.configState) ||
+                              MayLackChanges(aSelf.targetsState, peer.targetsState);
+    if (!hasNewerData && IsAlive(peer, aNow)) {
       latest = std::max(latest, std::min(peer.confirmedAt, peer.lastMessageAt));
     }
   }
--- a/tests/fakes/wire_store.cpp
+++ b/tests/fakes/wire_store.cpp
@@ -99,6 +99,33 @@
   return found == this->watchCounts.end() ? 0 : found->second;
 }
 
+void
+WireStore::SetPageSize(std::size_t aItems)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->pageSize = aItems;
+}
+
+void
+WireStore::SetListHook(OnList aHook)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->listHook = std::move(aHook);
+}
+
+void
+WireStore::CallListHook(const std::string& aTarget)
+{
+  OnList hook;
+  {
+    const std::scoped_lock lock(this->mutex);
+    hook = this->listHook;
+  }
+  if (hook) {
+    hook(QueryParameter(aTarget, "prefix"), QueryParameter(aTarget, "after"));
+  }
+}
+
 core::MonotonicTime
 WireStore::LastRenewal(std::chrono::milliseconds aDuration) const
 {
@@ -188,9 +215,13 @@
 WireStore::ListItems(const std::string& aTarget) const
 {
   const std::string prefix = QueryParameter(aTarget, "prefix");
+  const std::string after = QueryParameter(aTarget, "after");
   json found = json::array();
+  bool hasMore = false;
   for (const auto& [key, item] : this->items) {
-    if (key.starts_with(prefix) && !item.removed) {
+    const bool isListed = key.starts_with(prefix) && key > after && !item.removed;
+    hasMore = hasMore || (isListed && found.size() == this->pageSize);
+    if (isListed && found.size() < this->pageSize) {
       found.push_back({ { "key", key },
                         { "value", absl::Base64Escape(item.value) },
                         { "revision", item.revision },
@@ -199,7 +230,7 @@
     }
   }
   return json{
-    { "items", found }, { "hasMore", false }, { "storeRevision", this->revision }
+    { "items", found }, { "hasMore", hasMore }, { "storeRevision", this->revision }
   }.dump();
 }
 
@@ -339,6 +370,9 @@
     co_return;
   }
   std::pair<int, std::string> response = this->HandleCall(aRequest);
+  if (aRequest.target.starts_with("/plantainslip/kv-range")) {
+    this->CallListHook(aRequest.target);
+  }
   serving::HeaderList headers = this->ResponseHeaders();
   co_await aWriter.WriteWhole(response.first, std::move(headers), std::move(response.second));
 }
--- a/tests/fakes/wire_store.hpp
+++ b/tests/fakes/wire_store.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <string>
@@ -47,6 +49,16 @@
   /// @brief Returns how many watch calls for a prefix have arrived so far.
   std::size_t CountWatches(const std::string& aPrefix) const;
 
+  /// @brief Sets how many items a page of a list has at most.
+  void SetPageSize(std::size_t aItems);
+
+  /// @brief Called after a page of a list was read and before it is sent, with the prefix and the
+  ///        key that the page begins after.
+  using OnList = std::function<void(const std::string& aPrefix, const std::string& aAfter)>;
+
+  /// @brief Sets the function that is called for every page of a list, on the context's thread.
+  void SetListHook(OnList aHook);
+
   /// @brief Returns when the store last renewed a lease of a duration.
   core::MonotonicTime LastRenewal(std::chrono::milliseconds aDuration) const;
 
@@ -93,6 +105,7 @@
   serving::Task<void> ServeWatch(const std::string& aTarget, serving::AnswerWriter& aWriter);
   std::pair<int, std::string> HandleCall(const serving::CallerRequest& aRequest);
   std::string ListItems(const std::string& aTarget) const;
+  void CallListHook(const std::string& aTarget);
   std::string ListChanges(const std::string& aPrefix, std::uint64_t aAfter) const;
   serving::HeaderList ResponseHeaders() const;
   std::pair<int, std::string> CommitTransaction(const std::string& aBody);
@@ -117,6 +130,8 @@
   /// @brief Times of the last renewals, by the duration of the lease.
   std::map<std::chrono::milliseconds, core::MonotonicTime> renewals;
   std::map<std::string, std::size_t> watchCounts;
+  std::size_t pageSize = std::numeric_limits<std::size_t>::max();
+  OnList listHook;
   Mode mode = Mode::kAvailable;
   serving::asio::io_context& context;
   core::SystemClock clock;
--- a/tests/src/process-lost-peers.cpp
+++ b/tests/src/process-lost-peers.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -117,3 +118,23 @@
   const auto left = following.Leave(following.deskA);
   CHECK(following.CountReceived(following.deskA, left + kLeaveBound, left + 3s) == 0);
 }
+
+// Guards against passing on only what changed, and not that the list of targets lacks one.
+TEST_CASE("a removal that an instance has missed reaches it from peers that never knew the target")
+{
+  FollowingFleet following;
+  for (std::size_t index = 0; index < 3; ++index) {
+    following.fleet.Gateway(index).Signal(SIGKILL);
+  }
+  std::atomic<bool> hasListed{ false };
+  following.fleet.Store().SetListHook([&](const std::string& aPrefix, const std::string&) {
+    hasListed = hasListed || aPrefix == "servers/";
+  });
+  following.fleet.RestartGateway(2);
+  harness::Await("the first list of targets", [&] { return hasListed.load(); });
+  const auto left = following.Leave(following.deskA);
+  following.fleet.RestartGateway(0);
+  following.fleet.RestartGateway(1);
+  harness::Await("the instance to be ready", [&] { return following.fleet.Readiness() == 200; });
+  CHECK(following.CountReceived(following.deskA, left + kLeaveBound + 1s, left + 5s) == 0);
+}
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -321,8 +321,8 @@
   message.sender = core::InstanceId("one");
   message.process = ProcessId(77);
   message.sequence = 9;
-  message.configPosition = At(3);
-  message.targetsPosition = At(4);
+  message.configState = { At(3), ContentDigest(30) };
+  message.targetsState = { At(4), ContentDigest(~0ULL) };
   TargetLoad load;
   load.requests = 2.0;
   load.prefillTokens[4] = 1'234.0;
@@ -354,7 +354,8 @@
   CHECK(read->sender == message.sender);
   CHECK(read->process == ProcessId(77));
   CHECK(read->sequence == 9);
-  CHECK(read->targetsPosition == At(4));
+  CHECK(read->configState == message.configState);
+  CHECK(read->targetsState == message.targetsState);
   CHECK(read->loads == message.loads);
   CHECK(read->zone == message.zone);
   CHECK(read->linkMbps == 200.0);
--- a/tests/src/unit-watch-duty.cpp
+++ b/tests/src/unit-watch-duty.cpp
@@ -30,8 +30,8 @@
   peer.linkMbps = aLinkMbps;
   peer.lastMessageAt = kNow;
   peer.confirmedAt = kNow - 500ms;
-  peer.configPosition = At(7);
-  peer.targetsPosition = At(9);
+  peer.configState = { At(7), ContentDigest(70) };
+  peer.targetsState = { At(9), ContentDigest(90) };
   return peer;
 }
 
@@ -105,7 +105,7 @@
   }
   SUBCASE("is not left to a peer that has just started and has not read the store yet")
   {
-    peers[0].targetsPosition = {};
+    peers[0].targetsState = {};
     CHECK(DecideWatchDuty(self, peers, kNow).isWatcher);
   }
   SUBCASE("is not left to peers of another zone, which may be cut off")
@@ -138,12 +138,18 @@
   }
   SUBCASE("is ignored by an instance that lacks a newer configuration or target revision")
   {
-    peers[0].configPosition = At(8);
+    peers[0].configState = { At(8), ContentDigest(80) };
     CHECK(LatestPeerConfirmation(self, peers, kNow) == self.confirmedAt);
-    peers[0].configPosition = At(7);
-    peers[0].targetsPosition = At(10);
+    peers[0].configState = self.configState;
+    peers[0].targetsState = { At(10), ContentDigest(100) };
     CHECK(LatestPeerConfirmation(self, peers, kNow) == self.confirmedAt);
   }
+  SUBCASE("is valid for an instance that knows the same although the store's revision has grown")
+  {
+    peers[0].configState.upTo = At(20);
+    peers[0].targetsState.upTo = At(20);
+    CHECK(LatestPeerConfirmation(self, peers, kNow) == peers[0].confirmedAt);
+  }
   SUBCASE("is ignored when the peer no longer sends messages")
   {
     peers[0].lastMessageAt = kNow - kPeerLivenessTimeout - 1ms;
