Compare a peer's state with what the own copy is complete to

Cause: the newest item of the list was compared with what peers announced. The list is complete only up to the revision of its first page; what changed after that on earlier pages is missing, and nobody announces more than the newest item.

Fix: the newest item is no longer kept; the position that the copy is complete to decides.

--- a/src/serving/store_follower.cpp
+++ b/src/serving/store_follower.cpp
@@ -163,9 +163,6 @@
                 { "previous_era", std::to_string(before.era.Number()) },
                 { "previous_revision", std::to_string(before.revision.Number()) } });
   }
-  for (const StoreItem& item : aItems.items) {
-    this->newestChange = std::max(this->newestChange, item.position);
-  }
   const bool isNews = this->State().content != contentBefore;
   this->onChanges(FollowedChanges{ aItems, aIsSnapshot, aOrigin, isNews });
   return true;
@@ -241,20 +238,12 @@
   }
 }
 
-bool
-StoreFollower::LacksChangesOf(const ReplicaState& aPeerState) const
-{
-  ReplicaState own = this->State();
-  own.upTo = std::max(own.upTo, this->newestChange);
-  return MayLackChanges(own, aPeerState);
-}
-
 void
 StoreFollower::OnPeerState(const ReplicaState& aPeerState,
                            const net::Address& aPeer,
                            bool aSameZone)
 {
-  if (this->catchingUp || !this->IsInitialized() || !this->LacksChangesOf(aPeerState)) {
+  if (this->catchingUp || !this->IsInitialized() || !MayLackChanges(this->State(), aPeerState)) {
     return;
   }
   this->catchingUp = true;
@@ -292,11 +281,11 @@
   if (aDelay.count() > 0) {
     co_await SleepFor(aDelay);
   }
-  if (!this->LacksChangesOf(aPeerState)) {
+  if (!MayLackChanges(this->State(), aPeerState)) {
     co_return;
   }
   co_await this->FetchFromPeer(std::move(aPeer));
-  if (!this->LacksChangesOf(aPeerState)) {
+  if (!MayLackChanges(this->State(), aPeerState)) {
     co_return;
   }
   const auto items = co_await this->store.List(this->prefix, Freshness::kNewest);
--- a/src/serving/store_follower.hpp
+++ b/src/serving/store_follower.hpp
@@ -82,7 +82,6 @@
   Task<bool> ReadStore();
   Task<void> CatchUp(ReplicaState aPeerState, net::Address aPeer, milliseconds aDelay);
   Task<bool> FetchFromPeer(net::Address aPeer);
-  bool LacksChangesOf(const ReplicaState& aPeerState) const;
   bool ApplyChanges(const StoreItems& aItems, bool aIsSnapshot, ChangeOrigin aOrigin);
   void RecordOutage(const absl::Status& aStatus);
   milliseconds NextWatchTimeout();
@@ -99,8 +98,6 @@
   /// @brief Waits until the instance becomes a watcher.
   asio::steady_timer dutyTimer;
   Replica replica;
-  /// @brief Latest position of an applied change.
-  StorePosition newestChange;
   bool needsFullList = true;
   bool storeReachable = false;
   bool outageLogged = false;
--- a/tests/src/process-lost-peers.cpp
+++ b/tests/src/process-lost-peers.cpp
@@ -122,11 +122,11 @@
 // Guards against passing on only what changed, and not that the list of targets lacks one.
 TEST_CASE("a removal that an instance has missed reaches it from peers that never knew the target")
 {
+  std::atomic<bool> hasListed{ false };
   FollowingFleet following;
   for (std::size_t index = 0; index < 3; ++index) {
     following.fleet.Gateway(index).Signal(SIGKILL);
   }
-  std::atomic<bool> hasListed{ false };
   following.fleet.Store().SetListHook([&](const std::string& aPrefix, const std::string&) {
     hasListed = hasListed || aPrefix == "servers/";
   });
@@ -138,3 +138,35 @@
   harness::Await("the instance to be ready", [&] { return following.fleet.Readiness() == 200; });
   CHECK(following.CountReceived(following.deskA, left + kLeaveBound + 1s, left + 5s) == 0);
 }
+
+// Guards against taking the newest item of a list for the position up to which the list is
+// complete.
+TEST_CASE("changes between two pages of the list of targets reach an instance from its peers")
+{
+  std::atomic<bool> isChanged{ false };
+  std::string state = "removed";
+  FollowingFleet following;
+  fakes::WireStore& store = following.fleet.Store();
+  store.SetPageSize(1);
+  SUBCASE("a removal") {}
+  SUBCASE("an entry that says that its target is leaving")
+  {
+    state = "draining";
+  }
+  store.SetListHook([&](const std::string& aPrefix, const std::string& aAfter) {
+    if (aPrefix != "servers/" || !aAfter.empty() || isChanged.exchange(true)) {
+      return;
+    }
+    if (state == "removed") {
+      following.fleet.RemoveEntry("i-s0");
+    } else {
+      following.fleet.WriteEntry(following.deskA, "desk", "", state);
+    }
+    following.fleet.WriteEntry(following.deskB, "desk", "");
+  });
+  following.fleet.RestartGateway(2);
+  harness::Await("a list in several pages", [&] { return isChanged.load(); });
+  const auto changed = std::chrono::steady_clock::now();
+  harness::Await("the instance to be ready", [&] { return following.fleet.Readiness() == 200; });
+  CHECK(following.CountReceived(following.deskA, changed + kLeaveBound, changed + 4s) == 0);
+}
