Drop an answer to a watch that a later list has superseded

Change: changes up to the position that the copy is complete to are dropped, and a removal by a gap has the list's position in the directory.

Tests: "without changes that a later full list has superseded" and "an entry from before a full list that lacks it stays removed" (unit). That they fail without the change was not run.

--- a/include/plantainslip/serving/replica.hpp
+++ b/include/plantainslip/serving/replica.hpp
@@ -40,6 +40,11 @@
   ///         another era, which begins with a full list
   bool Apply(const StoreItems& aItems, bool aIsSnapshot);
 
+  /// @brief Drops changes that the copy has applied, or that later ones have superseded: those up
+  /// to
+  ///        the position up to which it is complete. Linear in the number of changes.
+  void DropKnown(StoreItems& aChanges) const;
+
   /// @brief Returns the changes that a reader is missing.
   /// @param aAfter  position up to which the reader is complete
   /// @return changes after the position, or a full list if the removals since then are not known;
--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -242,6 +242,7 @@
     }
   }
   for (const core::TargetId& id : missing) {
+    this->positions[id] = aUpTo;
     changed = this->Remove(id, aUpTo, this->LapseEndInList(aUpTo, aNow)) || changed;
   }
   std::erase_if(this->leftovers, [&](const auto& aEntry) {
--- a/src/serving/replica.cpp
+++ b/src/serving/replica.cpp
@@ -44,6 +44,13 @@
   this->Replace(known, aItem);
 }
 
+void
+Replica::DropKnown(StoreItems& aChanges) const
+{
+  std::erase_if(aChanges.items,
+                [this](const StoreItem& aItem) { return aItem.position <= this->upTo; });
+}
+
 bool
 Replica::Apply(const StoreItems& aItems, bool aIsSnapshot)
 {
--- a/src/serving/store_follower.cpp
+++ b/src/serving/store_follower.cpp
@@ -141,8 +141,12 @@
 }
 
 bool
-StoreFollower::ApplyChanges(const StoreItems& aItems, bool aIsSnapshot, ChangeOrigin aOrigin)
+StoreFollower::ApplyChanges(StoreItems aItems, bool aIsSnapshot, ChangeOrigin aOrigin)
 {
+  // An answer to a watch may arrive after that to a list which was read later.
+  if (!aIsSnapshot && aItems.upTo.era == this->replica.UpTo().era) {
+    this->replica.DropKnown(aItems);
+  }
   const StorePosition before = this->replica.UpTo();
   const ContentDigest contentBefore = this->State().content;
   if (!this->replica.Apply(aItems, aIsSnapshot)) {
@@ -207,10 +211,11 @@
   }
   this->storeReachable = true;
   this->outageLogged = false;
-  if (!this->ApplyChanges(*items, fullList, ChangeOrigin::kStore)) {
+  const bool hasItems = !items->items.empty();
+  if (!this->ApplyChanges(std::move(*items), fullList, ChangeOrigin::kStore)) {
     co_return false;
   }
-  if (!items->items.empty()) {
+  if (hasItems) {
     co_await SleepFor(fullList ? kPeerDiscoveryTime : this->batchDelay);
   }
   co_return true;
@@ -262,7 +267,7 @@
   std::string path = ChangesPath(this->prefix) + FormatPosition(this->replica.UpTo());
   SimpleRequest request{ aPeer, "GET", std::move(path), {}, "", kPeerTimeout, true };
   const auto answer = co_await SendSimpleRequest(this->pool, std::move(request));
-  const auto read = ParseChanges(answer);
+  auto read = ParseChanges(answer);
   if (!read.ok()) {
     core::Log(core::LogLevel::kWarning,
               "reading changes from a peer failed; reading them from the store",
@@ -271,7 +276,7 @@
                 { "error", std::string(read.status().message()) } });
     co_return false;
   }
-  this->ApplyChanges(read->changes, read->isSnapshot, ChangeOrigin::kPeer);
+  this->ApplyChanges(std::move(read->changes), read->isSnapshot, ChangeOrigin::kPeer);
   co_return true;
 }
 
@@ -288,9 +293,9 @@
   if (!MayLackChanges(this->State(), aPeerState)) {
     co_return;
   }
-  const auto items = co_await this->store.List(this->prefix, Freshness::kNewest);
+  auto items = co_await this->store.List(this->prefix, Freshness::kNewest);
   if (items.ok()) {
-    this->ApplyChanges(*items, true, ChangeOrigin::kStore);
+    this->ApplyChanges(std::move(*items), true, ChangeOrigin::kStore);
   } else {
     this->RecordOutage(items.status());
   }
--- a/src/serving/store_follower.hpp
+++ b/src/serving/store_follower.hpp
@@ -82,7 +82,7 @@
   Task<bool> ReadStore();
   Task<void> CatchUp(ReplicaState aPeerState, net::Address aPeer, milliseconds aDelay);
   Task<bool> FetchFromPeer(net::Address aPeer);
-  bool ApplyChanges(const StoreItems& aItems, bool aIsSnapshot, ChangeOrigin aOrigin);
+  bool ApplyChanges(StoreItems aItems, bool aIsSnapshot, ChangeOrigin aOrigin);
   void RecordOutage(const absl::Status& aStatus);
   milliseconds NextWatchTimeout();
 
--- a/tests/src/unit-serving-state.cpp
+++ b/tests/src/unit-serving-state.cpp
@@ -51,6 +51,12 @@
     CHECK_FALSE(directory.Targets().contains(target));
     CHECK(directory.Targets().contains(core::TargetId("new")));
   }
+  SUBCASE("an entry from before a full list that lacks it stays removed")
+  {
+    directory.ApplyAll({}, At(8), now);
+    CHECK_FALSE(directory.Apply(Entry("t", 7), now));
+    CHECK(directory.Targets().empty());
+  }
 }
 
 TEST_CASE("a target is dropped when a later process uses its address")
--- a/tests/src/unit-watch-duty.cpp
+++ b/tests/src/unit-watch-duty.cpp
@@ -191,6 +191,14 @@
     CHECK(changes.isSnapshot);
     CHECK(changes.changes.items.size() == 2);
   }
+  SUBCASE("without changes that a later full list has superseded")
+  {
+    replica.Apply({ { Item("b", 5) }, At(9) }, true);
+    StoreItems late{ { Item("c", 7), Item("a", 8), Item("d", 10) }, At(10) };
+    replica.DropKnown(late);
+    REQUIRE(late.items.size() == 1);
+    CHECK(late.items.front().key == "d");
+  }
   SUBCASE("without removals by an older full list that arrives late")
   {
     replica.Apply({ { Item("c", 8) }, At(8) }, false);
