Fail a response whose status is none of the protocol's

Cause: Beast reads any three digits as a status.

Fix: a status outside of 100 to 599 is a malformed response wherever heads are read: 502 at once.

--- a/include/plantainslip/net/response_end.hpp
+++ b/include/plantainslip/net/response_end.hpp
@@ -6,6 +6,11 @@
 
 namespace plantainslip::net {
 
+/// @brief Returns whether a status is one of the protocol's classes (1xx to 5xx). A response with
+///        another one is no answer.
+bool
+IsValidStatus(int aStatus);
+
 /// @brief Returns whether a status means that the request succeeded (2xx).
 bool
 IsSuccess(int aStatus);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,6 +5,7 @@
 #include <civetweb.h>
 
 #include <plantainslip/net/errors.hpp>
+#include <plantainslip/net/response_end.hpp>
 
 namespace plantainslip::net {
 
@@ -71,6 +72,10 @@
     return core::MakeError(errors::kNoAnswer, aAddress.Text() + ": " + errorText.data());
   }
   const mg_response_info* info = mg_get_response_info(connection.get());
+  if (!IsValidStatus(info->status_code)) {
+    return core::MakeError(errors::kNoAnswer,
+                           "invalid status " + std::to_string(info->status_code));
+  }
   absl::StatusOr<std::string> body = ReadBody(connection.get(), info->content_length);
   if (!body.ok()) {
     return body.status();
--- a/src/net/http_stream.cpp
+++ b/src/net/http_stream.cpp
@@ -88,6 +88,10 @@
     if (failure) {
       return core::MakeError(errors::kNoAnswer, aAddress.Text() + ": " + failure.message());
     }
+    if (!IsValidStatus(this->StatusCode())) {
+      return core::MakeError(errors::kNoAnswer,
+                             "invalid status " + std::to_string(this->StatusCode()));
+    }
     return absl::OkStatus();
   }
 
--- a/src/net/response_end.cpp
+++ b/src/net/response_end.cpp
@@ -9,6 +9,14 @@
 
 } // namespace
 
+bool
+IsValidStatus(int aStatus)
+{
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast;
+}
+
 bool
 IsSuccess(int aStatus)
 {
--- a/src/serving/target_call.cpp
+++ b/src/serving/target_call.cpp
@@ -128,6 +128,9 @@
     const auto& message = this->parser->get();
     constexpr int kFirstFinalStatus = 200;
     const int status = static_cast<int>(message.result_int());
+    if (!net::IsValidStatus(status)) {
+      co_return core::MakeError(errors::kBadAnswer, "invalid status " + std::to_string(status));
+    }
     const bool interim = status < kFirstFinalStatus;
     if (interim || this->IsForAnotherRequest()) {
       this->hasSkippedHead = true;
