--- a/include/plantainslip/serving/directory.hpp
+++ b/include/plantainslip/serving/directory.hpp
@@ -114,9 +114,8 @@
     core::MonotonicTime usableFrom;
   };
 
-  /// @brief Time in which the store answered no instance. It was an outage if it left a call of
-  /// this
-  ///        instance unanswered meanwhile.
+  /// @brief Time in which the store answered no instance; an outage if it left a call of this one
+  ///        unanswered meanwhile.
   struct Silence
   {
     core::MonotonicTime lastContactAt;
--- a/include/plantainslip/serving/replica.hpp
+++ b/include/plantainslip/serving/replica.hpp
@@ -40,9 +40,8 @@
   ///         another era, which begins with a full list
   bool Apply(const StoreItems& aItems, bool aIsSnapshot);
 
-  /// @brief Drops changes that the copy has applied, or that later ones have superseded: those up
-  /// to
-  ///        the position up to which it is complete. Linear in the number of changes.
+  /// @brief Drops changes that the copy has applied or that later ones have superseded, which are
+  ///        those up to its own position. Linear in the number of changes.
   void DropKnown(StoreItems& aChanges) const;
 
   /// @brief Returns the changes that a reader is missing.
