--- a/tests/src/unit-watch-duty.cpp
+++ b/tests/src/unit-watch-duty.cpp
@@ -207,6 +207,20 @@
   }
 }
 
+// Guards against a reader that keeps a key which the replica has never seen, as it was written and
+// removed between the replica's last change and a later full list.
+TEST_CASE("a replica that has read a full list again knows no removals before it")
+{
+  Replica replica;
+  replica.Apply({ { Item("a", 3) }, At(6) }, true);
+  replica.Apply({ { Item("a", 3) }, At(10) }, true);
+  Replica reader;
+  reader.Apply({ { Item("a", 3), Item("k", 8) }, At(8) }, true);
+  const ReplicaChanges changes = replica.ChangesAfter(reader.UpTo());
+  reader.Apply(changes.changes, changes.isSnapshot);
+  CHECK(reader.State() == replica.State());
+}
+
 TEST_CASE("after the store comes back from a copy, revisions that are given out again are new")
 {
   Replica replica;
