--- a/review/stand-ins-3/stand_in.cpp
+++ b/review/stand-ins-3/stand_in.cpp
@@ -476,6 +476,7 @@
     std::chrono::steady_clock::now() + milliseconds(std::stol(Query(aRequest.Path(), "waitMs")));
   std::unique_lock lock(this->mutex);
   json events = json::array();
+  bool isOver = false;
   while (true) {
     for (auto change = this->history.upper_bound(after); change != this->history.end(); ++change) {
       const auto& [key, item] = change->second;
@@ -492,9 +493,11 @@
       }
       events.push_back(std::move(event));
     }
-    if (!events.empty() || this->changed.wait_until(lock, until) == std::cv_status::timeout) {
+    if (!events.empty() || isOver) {
       return { 200, json{ { "events", events }, { "storeRevision", this->revision } }.dump() };
     }
+    // A change may come as the wait ends, so the history is read once more.
+    isOver = this->changed.wait_until(lock, until) == std::cv_status::timeout;
   }
 }
 
