--- a/review/stand-ins-3/case_11.cpp
+++ b/review/stand-ins-3/case_11.cpp
@@ -169,6 +169,7 @@
     if (connection == nullptr) {
       connection = Connection::Open(aPort);
     }
+    aRecord.Write("caller sends " + id);
     Message response;
     const std::string body = "{\"fee\":1}";
     const bool answered =
@@ -178,8 +179,8 @@
                        "\r\n\r\n" + body) &&
       connection->Read(response, true);
     const int status = answered ? response.Status() : 0;
+    aRecord.Write("caller of " + id + " gets " + std::to_string(status) + " " + response.body);
     if (status != 200) {
-      aRecord.Write("caller of " + id + " gets " + std::to_string(status) + " " + response.body);
       connection.reset();
     }
     {
--- a/review/stand-ins-3/case_12.cpp
+++ b/review/stand-ins-3/case_12.cpp
@@ -129,6 +129,7 @@
       return aConnection.Send(FormatResponse(200, {}, report.dump()));
     }
     if (aRequest.Path() == "/plantainslip/order") {
+      this->record.Write(this->id + " refuses an order");
       return aConnection.Send(FormatResponse(409, {}, ""));
     }
     if (request.empty()) {
@@ -220,6 +221,7 @@
 Call(std::uint16_t aPort, const std::string& aId, Record& aRecord)
 {
   const auto connection = Connection::Open(aPort);
+  aRecord.Write("caller sends " + aId);
   Message response;
   const std::string body = "the note";
   const bool answered =
